--- /dev/null
+++ b/glenkeel/adapter.py
@@ -0,0 +1,89 @@
+"""Hosts many instances of the decision module on the bench's wire: one reply for each batch."""
+
+from __future__ import annotations
+
+import sys
+from typing import BinaryIO
+
+from glenkeel import wire
+from glenkeel.balance import Balancer
+from glenkeel.interface import RequestArrived
+
+
+def read_exactly(source: BinaryIO, size: int) -> bytes:
+    """`size` bytes, or fewer at the end of input."""
+    data = source.read(size)
+    while len(data) < size:
+        more = source.read(size - len(data))
+        if not more:
+            break
+        data += more
+    return data
+
+
+class Host:
+    """The running instances; they share nothing but the decoder's upstream lists."""
+
+    def __init__(self) -> None:
+        self.decoder = wire.Decoder()
+        self.instances: dict[int, Balancer] = {}
+
+    def batch(self, now_us: int, count: int, body: bytes) -> bytes:
+        records: list[bytes] = []
+        for instance, event in self.decoder.batch(body, count):
+            if isinstance(event, wire.InstanceStarted):
+                settings = wire.parse_settings(event.options)
+                self.instances[instance] = Balancer(settings, event.seed, now_us)
+            elif isinstance(event, wire.InstanceStopped):
+                self.instances.pop(instance, None)
+            elif instance in self.instances:
+                classes = len(self.instances[instance].settings.classes)
+                if isinstance(event, RequestArrived) and event.class_index >= classes:
+                    what = f"request class {event.class_index} of {classes}"
+                    raise wire.WireError(f"instance {instance}: {what}")
+                try:
+                    actions = self.instances[instance].handle(now_us, event)
+                    records.extend([wire.encode(instance, action) for action in actions])
+                except Exception as error:  # a bug in the decisions is told on the wire, not hidden
+                    text = f"{type(error).__name__}: {error}"
+                    records.append(wire.encode(instance, wire.InternalError(text)))
+        return wire.reply(records)
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Answer batches until the input ends."""
+    host = Host()
+    number = 0
+    while True:
+        header = read_exactly(source, wire.HEADER.size)
+        if not header:
+            return
+        try:
+            if len(header) < wire.HEADER.size:
+                raise wire.WireError(f"truncated header: {len(header)} of {wire.HEADER.size} bytes")
+            size, count, now_us = wire.HEADER.unpack(header)
+            body = read_exactly(source, size)
+            if len(body) < size:
+                raise wire.WireError(f"truncated body: {len(body)} of {size} bytes")
+            answer = host.batch(now_us, count, body)
+        except wire.WireError as error:
+            raise wire.WireError(f"batch {number}: {error}") from error
+        sink.write(answer)
+        sink.flush()
+        number += 1
+
+
+def main() -> int:
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except wire.WireError as error:
+        print(f"glenkeel: {error}", file=sys.stderr)
+        return 2
+    except BrokenPipeError:
+        print("glenkeel: the reader of our replies is gone", file=sys.stderr)
+        return 3
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/glenkeel/wire.py
@@ -0,0 +1,332 @@
+"""The bench's wire: frames to interface events, interface actions to frames, settings from text.
+
+No decision is made here. `WireError` says in one line what is malformed and where.
+"""
+
+from __future__ import annotations
+
+import math
+import struct
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from glenkeel import interface as api
+
+HEADER = struct.Struct("<IIQ")
+REPLY_HEADER = struct.Struct("<II")
+_ENTRY = struct.Struct("<IBBHBfQ")
+_LIST_HEAD = struct.Struct("<II")
+_POWER_ON = struct.Struct("<QI")
+_MEMBERS = struct.Struct("<BII")
+_ACCEPT = struct.Struct("<IBIQIBQ")
+_COMPLETED = struct.Struct("<IBIHIBB")
+_BEGUN = struct.Struct("<IBII")
+_HEALTH = struct.Struct("<IHIB")
+_DATAGRAM = struct.Struct("<HH")
+_U16 = struct.Struct("<H")
+_U32 = struct.Struct("<I")
+
+_OUTCOMES = {
+    0: api.Outcome.OK, 5: api.Outcome.ERROR, 11: api.Outcome.FULL, 110: api.Outcome.TIMEOUT,
+    111: api.Outcome.CONNECT_FAILED, 104: api.Outcome.RESET, 125: api.Outcome.CANCELLED,
+    114: api.Outcome.NOT_SENT,
+}
+_STATES = {0: api.UpstreamState.GONE, 1: api.UpstreamState.READY, 2: api.UpstreamState.DRAINING}
+_LIST_KINDS = {0: api.ListKind.DELTA, 1: api.ListKind.FULL, 2: api.ListKind.CACHED, 3: api.ListKind.FAILED}
+# Load report values: the wire's names and ours; a name not known here is kept as it is.
+_REPORT_NAMES = {"rif": "in_flight", "q": "queued", "busy": "utilization", "lat_ms": "latency_ms",
+                 "rate": "served_per_s", "fail_rate": "errors_per_s"}
+_U32_MAX = 0xFFFFFFFF
+V = TypeVar("V")
+
+
+class WireError(Exception):
+    """A frame or a setting that cannot be read."""
+
+
+@dataclass(slots=True)
+class InstanceStarted:
+    """An instance comes up with no state."""
+
+    seed: int
+    options: str
+
+
+@dataclass(slots=True)
+class InstanceStopped:
+    """The instance has been killed."""
+
+
+@dataclass(slots=True)
+class InternalError:
+    """Action: the decision code has failed; the text says how."""
+
+    text: str
+
+
+Record = api.Event | InstanceStarted | InstanceStopped
+Reply = api.Action | InternalError
+
+
+class Decoder:
+    """Reads batches; remembers the numbered upstream lists, which events refer to."""
+
+    def __init__(self) -> None:
+        self.lists: dict[int, list[api.Upstream]] = {}
+        self.data = b""
+        self.at = 0
+
+    def batch(self, data: bytes, count: int) -> Iterator[tuple[int, Record]]:
+        """The (instance, event) pairs of a batch's body, in order."""
+        self.data, self.at = data, 0
+        for index in range(count):
+            start = self.at
+            try:
+                code = self.take(1)[0]
+                if code == 110:
+                    self.read_list()
+                    continue
+                reader = _READERS.get(code)
+                if reader is None:
+                    raise WireError(f"unknown event code {code}")
+                instance = self.fields(_U16)[0]
+                event = reader(self)
+            except (WireError, UnicodeDecodeError) as error:
+                raise WireError(f"record {index} at byte {start}: {error}") from error
+            yield instance, event
+        if self.at != len(data):
+            raise WireError(f"{len(data) - self.at} bytes left over after {count} records")
+
+    def take(self, size: int) -> bytes:
+        end = self.at + size
+        if end > len(self.data):
+            raise WireError(f"truncated: {size} bytes wanted, {len(self.data) - self.at} left")
+        piece = self.data[self.at:end]
+        self.at = end
+        return piece
+
+    def fields(self, layout: struct.Struct) -> tuple[int, ...]:
+        return layout.unpack(self.take(layout.size))
+
+    def floats(self, count: int) -> list[float]:
+        values = list(struct.unpack(f"<{count}f", self.take(4 * count)))
+        if not all(map(math.isfinite, values)):
+            raise WireError("a load report value that is not a finite number")
+        return values
+
+    def read_list(self) -> None:
+        number, count = self.fields(_LIST_HEAD)
+        entries = []
+        for upstream, zone, kind, cell, state, weight, started in _ENTRY.iter_unpack(
+            self.take(_ENTRY.size * count)
+        ):
+            if not math.isfinite(weight):
+                raise WireError(f"upstream {upstream} has a weight that is not a finite number")
+            entries.append(api.Upstream(upstream, _known(_STATES, state, "upstream condition"), zone, kind,
+                                        cell, weight, started))
+        self.lists[number] = entries
+
+
+def _known(table: dict[int, V], code: int, what: str) -> V:
+    value = table.get(code)
+    if value is None:
+        raise WireError(f"unknown {what} {code}")
+    return value
+
+
+def _started(frame: Decoder) -> Record:
+    seed, size = frame.fields(_POWER_ON)
+    return InstanceStarted(seed, frame.take(size).decode())
+
+
+def _stopped(frame: Decoder) -> Record:
+    return InstanceStopped()
+
+
+def _members(frame: Decoder) -> Record:
+    how, version, number = frame.fields(_MEMBERS)
+    kind = _known(_LIST_KINDS, how, "list kind")
+    if kind is api.ListKind.FAILED:
+        return api.UpstreamsUpdated(kind, [], version)
+    if number not in frame.lists:
+        raise WireError(f"upstream list {number} was never sent")
+    return api.UpstreamsUpdated(kind, frame.lists[number], version)
+
+
+def _accept(frame: Decoder) -> Record:
+    request, class_index, tenant, key, cost, marks, due = frame.fields(_ACCEPT)
+    return api.RequestArrived(request, due, class_index, tenant, key, cost if marks & 1 else 0,
+                              bool(marks & 2), bool(marks & 4))
+
+
+def _completed(frame: Decoder) -> Record:
+    request, attempt, upstream, verdict, spent, last, count = frame.fields(_COMPLETED)
+    return api.AttemptEnded(request, attempt, upstream, _known(_OUTCOMES, verdict, "outcome"), spent,
+                            bool(last), frame.floats(count))
+
+
+def _begun(frame: Decoder) -> Record:
+    request, attempt, spent, upstream = frame.fields(_BEGUN)
+    return api.StreamStarted(request, attempt, upstream, spent)
+
+
+def _health(frame: Decoder) -> Record:
+    upstream, verdict, spent, count = frame.fields(_HEALTH)
+    return api.ProbeEnded(upstream, _known(_OUTCOMES, verdict, "outcome"), spent, frame.floats(count))
+
+
+def _datagram(frame: Decoder) -> Record:
+    sender, size = frame.fields(_DATAGRAM)
+    return api.PeerMessage(sender, frame.take(size))
+
+
+_READERS: dict[int, Callable[[Decoder], Record]] = {
+    10: _completed, 20: _begun, 30: _datagram, 40: _stopped,
+    50: lambda frame: api.TimerFired(frame.fields(_U32)[0]),
+    60: lambda frame: api.RequestGone(frame.fields(_U32)[0]),
+    70: _accept, 80: _members, 90: _health, 100: _started,
+}
+
+
+def _pack(code: int, layout: str) -> Callable[..., bytes]:
+    packer = struct.Struct("<BH" + layout)
+    return lambda instance, *values: packer.pack(code, instance, *values)
+
+
+_send, _refuse, _fail = _pack(20, "IIi"), _pack(40, "II"), _pack(90, "I")
+_cancel, _probe, _timer = _pack(100, "IB"), _pack(80, "I"), _pack(30, "QI")
+_subscribe, _fetch, _close = _pack(70, "B"), _pack(10, ""), _pack(110, "I")
+_tell, _text_log, _text_error = _pack(50, "IH"), _pack(120, "H"), _pack(60, "H")
+
+
+def _text(head: Callable[..., bytes], instance: int, text: str) -> bytes:
+    raw = text.encode()[:0xFFFF]
+    return head(instance, len(raw)) + raw
+
+
+_WRITERS: dict[type, Callable[[int, Any], bytes]] = {
+    api.Send: lambda i, a: _send(i, a.request, a.upstream, a.timeout_us),
+    api.Refuse: lambda i, a: _refuse(i, a.request, a.retry_after_us),
+    api.Fail: lambda i, a: _fail(i, a.request),
+    api.Cancel: lambda i, a: _cancel(i, a.request, a.attempt),
+    api.Probe: lambda i, a: _probe(i, a.upstream),
+    api.SetTimer: lambda i, a: _timer(i, a.at_us, a.token),
+    api.Subscribe: lambda i, a: _subscribe(i, int(a.active)),
+    api.FetchList: lambda i, a: _fetch(i),
+    api.CloseIdle: lambda i, a: _close(i, a.upstream),
+    api.TellPeer: lambda i, a: _tell(i, _U32_MAX if a.to is None else a.to, len(a.payload)) + a.payload,
+    api.Log: lambda i, a: _text(_text_log, i, a.text),
+    InternalError: lambda i, a: _text(_text_error, i, a.text),
+}
+
+
+def encode(instance: int, action: Reply) -> bytes:
+    """One action record."""
+    return _WRITERS[type(action)](instance, action)
+
+
+def reply(records: list[bytes]) -> bytes:
+    """A whole reply frame."""
+    body = b"".join(records)
+    return REPLY_HEADER.pack(len(body), len(records)) + body
+
+
+class _Options:
+    """The start-up settings' path=value pairs, read with checks."""
+
+    def __init__(self, text: str) -> None:
+        self.pairs: dict[str, str] = {}
+        for number, line in enumerate(text.splitlines(), 1):
+            if not line.strip():
+                continue
+            path, equals, value = line.partition("=")
+            if not equals or not path:
+                raise WireError(f"settings line {number}: expected path=value, got {line!r}")
+            self.pairs[path] = value
+
+    def text(self, path: str, default: str | None = None) -> str:
+        value = self.pairs.get(path, default)
+        if value is None:
+            raise WireError(f"setting {path} is missing")
+        return value
+
+    def number(self, path: str, default: str | None = None) -> float:
+        value = self.text(path, default)
+        try:
+            number = float(value)
+        except ValueError:
+            number = math.nan
+        if not math.isfinite(number):
+            raise WireError(f"setting {path}: expected a number, got {value!r}")
+        return number
+
+    def whole(self, path: str, default: str | None = None) -> int:
+        number = self.number(path, default)
+        if number != int(number):
+            raise WireError(f"setting {path}: expected a whole number, got {self.text(path, default)!r}")
+        return int(number)
+
+    def choice(self, path: str, choices: tuple[str, ...], default: str | None = None) -> str:
+        value = self.text(path, default)
+        if value not in choices:
+            raise WireError(f"setting {path}: expected one of {', '.join(choices)}, got {value!r}")
+        return value
+
+    def flag(self, path: str, default: str | None = None) -> bool:
+        return self.choice(path, ("true", "false"), default) == "true"
+
+
+def _class(options: _Options, at: str) -> api.RequestClass:
+    return api.RequestClass(
+        name=options.text(at + "name"),
+        aim_us=options.whole(at + "aim"),
+        deadline_us=options.whole(at + "deadline"),
+        worth=options.number(at + "worth"),
+        late_worth=options.number(at + "late-worth", "0"),
+        aim_stretch=options.number(at + "aim-stretch", "0"),
+        effect=options.choice(at + "effect", api.EFFECTS),
+        group=options.choice(at + "group", api.GROUPS, "all"),
+        memory_us=options.whole(at + "memory-span", "0"),
+        stream=options.flag(at + "stream", "false"),
+    )
+
+
+def _tenant(options: _Options, at: str) -> api.Tenant:
+    return api.Tenant(options.text(at + "name"), options.number(at + "allowance-per-s"),
+                      options.number(at + "share", "0"))
+
+
+def parse_settings(text: str) -> api.Settings:
+    """The settings of one instance; keys that are not known are skipped."""
+    o = _Options(text)
+    try:
+        return api.Settings(
+            classes=[_class(o, f"request-classes.{i}.") for i in range(o.whole("request-classes.count"))],
+            tenants=[_tenant(o, f"accounts.{i}.") for i in range(o.whole("accounts.count", "0"))],
+            over_share_worth=o.number("over-share-worth", "1"),
+            worth_by_work=o.choice("value-by", ("request", "work"), "request") == "work",
+            instances=o.whole("instances"),
+            self_index=o.whole("self-index", "0"),
+            zone=o.whole("locality", "0"),
+            tick_us=o.whole("granularity"),
+            max_attempts=o.whole("bounds.most-tries"),
+            max_retry_after_us=o.whole("bounds.max-retry-after", "0"),
+            connect_timeout_us=o.whole("bounds.dial-timeout", "0"),
+            retry_after=o.flag("bounds.retry-after"),
+            cancel=o.flag("bounds.cancel"),
+            probes=o.flag("bounds.probes"),
+            second_copies=o.flag("bounds.second-copies"),
+            list_on_request=o.choice("registry-mode", ("pushed", "on_request")) == "on_request",
+            ask_within_us=o.whole("invariants.ask-within", "0"),
+            cold_share=o.number("invariants.cold-share"),
+            warm_up_us=o.whole("invariants.warm-up"),
+            overload_factor=o.number("invariants.overload-factor"),
+            fall_us=o.whole("invariants.fall"),
+            cross_zone_fee=o.number("fees.cross-zone", "0"),
+            report_names=[_REPORT_NAMES.get(name, name)
+                          for name in o.text("report.names", "").split(",") if name],
+            weighted=o.text("weights", "none") != "none",
+        )
+    except ValueError as error:
+        raise WireError(f"settings: {error}") from error
--- /dev/null
+++ b/tests/check.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# The whole test run: lint, types, tests (the line limits and a start of the deploy file's sim among them).
+set -eu
+cd "$(dirname "$0")/.."
+python -m ruff check .
+python -m mypy
+python -m pytest
--- /dev/null
+++ b/tests/test_calm.py
@@ -0,0 +1,93 @@
+"""Odd but legal events are taken calmly; direct misuse is told plainly."""
+
+from __future__ import annotations
+
+import pytest
+
+from glenkeel.balance import Balancer
+from glenkeel.interface import (
+    AttemptEnded,
+    Fail,
+    Outcome,
+    PeerMessage,
+    ProbeEnded,
+    RequestArrived,
+    RequestClass,
+    RequestGone,
+    StreamStarted,
+    Tenant,
+    TimerFired,
+    UpstreamsUpdated,
+)
+from glenkeel.interface import ListKind as Kind
+from tests.world import START_US, World, settings, upstreams
+
+
+def test_events_about_what_is_unknown_change_nothing() -> None:
+    world = World()
+    world.tell_list(upstreams(3))
+    for event in (AttemptEnded(77, 0, 100, Outcome.OK, 5, True), RequestGone(77), TimerFired(123456),
+                  StreamStarted(77, 0, 100, 5), ProbeEnded(4242, Outcome.OK, 5, [1.0, 2.0]),
+                  PeerMessage(1, b"hi"), UpstreamsUpdated(Kind.FAILED)):
+        assert world.tell(event) == []
+    assert world.sends(world.arrive(0))
+
+
+def test_outcomes_after_the_answer_and_gone_after_the_end_are_ignored() -> None:
+    world = World()
+    world.tell_list(upstreams(3))
+    request = world.arrive(0)
+    world.quit(request)
+    assert world.end(request, 0, Outcome.ERROR) == []
+    assert world.tell(AttemptEnded(request, 0, 100, Outcome.OK, 5, True)) == []
+    assert world.tell(RequestGone(request)) == []
+    served = world.arrive(0)
+    world.end(served, 0, Outcome.OK)
+    assert world.tell(RequestGone(served)) == []
+
+
+def test_an_outcome_of_an_attempt_never_made_is_ignored() -> None:
+    world = World()
+    world.tell_list(upstreams(3))
+    request = world.arrive(0)
+    assert world.tell(AttemptEnded(request, 9, 100, Outcome.OK, 5, False)) == []
+
+
+def test_a_stream_that_breaks_is_not_sent_again() -> None:
+    world = World(settings(classes=[RequestClass("feed", 100_000, 500_000, stream=True)]))
+    world.tell_list(upstreams(3))
+    request = world.arrive(0)
+    world.begin_stream(request, 0)
+    world.advance(3_000_000)
+    world.end(request, 0, Outcome.RESET)
+    assert len(world.sends(request)) == 1 and not isinstance(world.answer(request), Fail)
+
+
+def test_the_same_events_and_seed_give_the_same_actions() -> None:
+    first, second, other = (Balancer(settings(), seed, START_US) for seed in (5, 5, 6))
+    told = []
+    for balancer in (first, second, other):
+        actions = balancer.handle(START_US, UpstreamsUpdated(Kind.FULL, upstreams(9)))
+        for n in range(20):
+            actions += balancer.handle(START_US, RequestArrived(n, START_US + 900_000))
+        told.append(actions)
+    assert told[0] == told[1] != told[2]
+
+
+@pytest.mark.parametrize(("make", "words"), [
+    (lambda: RequestClass("x", 0, 10), "aim_us above 0"),
+    (lambda: RequestClass("x", 10, -1), "deadline_us above 0"),
+    (lambda: RequestClass("x", 10, 10, effect="maybe"), "idempotent, deduplicated, at_most_once"),
+    (lambda: RequestClass("x", 10, 10, group="planet"), "all, zone, cell"),
+    (lambda: RequestClass("x", 10, 10, late_worth=2), "late_worth from 0 to 1"),
+    (lambda: Tenant("t", -1), "allowance_per_s of 0 or more"),
+    (lambda: settings(max_attempts=-1), "max_attempts of 1 or more"),
+    (lambda: settings(instances=0), "instances of 1 or more"),
+    (lambda: settings(cold_share=0), "cold_share above 0"),
+    (lambda: settings(warm_up_us=-5), "warm_up_us of 0 or more"),
+    (lambda: settings(classes=[]), "at least one request class"),
+])
+def test_misuse_says_what_was_expected(make: object, words: str) -> None:
+    with pytest.raises(ValueError, match="expected") as caught:
+        make()  # type: ignore[operator]
+    assert words in str(caught.value)
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,191 @@
+"""The wire's documented bytes, and what is malformed."""
+
+from __future__ import annotations
+
+import io
+import struct
+
+import pytest
+
+from glenkeel import adapter, wire
+from glenkeel import interface as api
+from glenkeel.balance import Balancer
+from tests.options import OPTIONS
+
+LIST = ("6e 00000000 02000000 074a1203 00 00 0000 01 0000803f 0000000000000000"
+        " f211902c 01 00 0000 01 0000c03f 20145d0000000000")
+FIRST, SECOND, TICKET, OTHER = 0x03124A07, 0x2C9011F2, 0x5D3A91C4, 0x0E6F2B19
+
+EVENTS: list[tuple[str, wire.Record]] = [
+    (LIST + "50 0300 02 29000000 00000000", api.UpstreamsUpdated(api.ListKind.CACHED, [
+        api.Upstream(FIRST), api.Upstream(SECOND, zone=1, weight=1.5, started_us=6100000)], 41)),
+    ("46 0300 c4913a5d 00 00000000 640ad2557c3bf091 e02e0000 01 da05840000000000",
+     api.RequestArrived(TICKET, 8652250, 0, 0, 0x91F03B7C55D20A64, 12000)),
+    ("28 0300", wire.InstanceStopped()),
+    ("32 0300 4d000000", api.TimerFired(77)),
+    ("3c 0300 192b6f0e", api.RequestGone(OTHER)),
+    ("0a 0300 c4913a5d 00 074a1203 0000 44480000 01 00",
+     api.AttemptEnded(TICKET, 0, FIRST, api.Outcome.OK, 18500, True)),
+    ("1e 0300 0200 0400 68692037", api.PeerMessage(2, b"hi 7")),
+    ("14 0300 c4913a5d 00 22240000 074a1203", api.StreamStarted(TICKET, 0, FIRST, 9250)),
+    ("5a 0300 f211902c 0000 78050000 00", api.ProbeEnded(SECOND, api.Outcome.OK, 1400)),
+]
+
+ACTIONS: list[tuple[str, wire.Reply]] = [
+    ("14 0300 c4913a5d 074a1203 80380100", api.Send(TICKET, FIRST, 80000)),
+    ("5a 0300 192b6f0e", api.Fail(OTHER)),
+    ("32 0300 ffffffff 0400 68692037", api.TellPeer(b"hi 7")),
+    ("46 0300 01", api.Subscribe()),
+    ("6e 0300 f211902c", api.CloseIdle(SECOND)),
+    ("28 0300 192b6f0e 90d00300", api.Refuse(OTHER, 250000)),
+    ("1e 0300 7afd870000000000 4d000000", api.SetTimer(8912250, 77)),
+    ("50 0300 f211902c", api.Probe(SECOND)),
+    ("78 0300 1100 74776f2073657276657273206b6e6f776e", api.Log("two servers known")),
+    ("64 0300 c4913a5d 00", api.Cancel(TICKET, 0)),
+    ("3c 0300 1200 696e646578206f7574206f662072616e6765", wire.InternalError("index out of range")),
+    ("0a 0300", api.FetchList()),
+]
+
+EMPTY = "00000000 00000000 5a5c800000000000"
+THREE = ("2f000000 03000000 5a5c800000000000"
+         "46 0300 c4913a5d 00 00000000 640ad2557c3bf091 e02e0000 01 da05840000000000"
+         "32 0300 4d000000 3c 0500 192b6f0e")
+
+
+def power_on(text: str = OPTIONS, instance: int = 3, seed: int = 9) -> bytes:
+    raw = text.encode()
+    return struct.pack("<BHQI", 100, instance, seed, len(raw)) + raw
+
+
+def batch(records: list[bytes], now_us: int = 8_412_250) -> bytes:
+    body = b"".join(records)
+    return struct.pack("<IIQ", len(body), len(records), now_us) + body
+
+
+def serve(data: bytes) -> bytes:
+    sink = io.BytesIO()
+    adapter.serve(io.BytesIO(data), sink)
+    return sink.getvalue()
+
+
+@pytest.mark.parametrize(("text", "event"), EVENTS)
+def test_documented_events_are_read(text: str, event: wire.Record) -> None:
+    data = bytes.fromhex(text)
+    count = 2 if text.startswith("6e") else 1
+    assert list(wire.Decoder().batch(data, count)) == [(3, event)]
+
+
+@pytest.mark.parametrize(("text", "action"), ACTIONS)
+def test_documented_actions_are_written(text: str, action: wire.Reply) -> None:
+    assert wire.encode(3, action) == bytes.fromhex(text)
+
+
+def test_the_documented_frames() -> None:
+    assert serve(bytes.fromhex(EMPTY)) == bytes.fromhex("00000000 00000000")
+    events = list(wire.Decoder().batch(bytes.fromhex(THREE)[16:], 3))
+    assert [(i, type(e).__name__) for i, e in events] == [
+        (3, "RequestArrived"), (3, "TimerFired"), (5, "RequestGone")]
+    records = [wire.encode(3, ACTIONS[0][1]), wire.encode(3, ACTIONS[6][1]), bytes.fromhex(
+        "78 0500 1100 74776f2073657276657273206b6e6f776e")]
+    assert wire.reply(records) == bytes.fromhex(
+        "34000000 03000000 14 0300 c4913a5d 074a1203 80380100 1e 0300 7afd870000000000 4d000000"
+        "78 0500 1100 74776f2073657276657273206b6e6f776e")
+
+
+def test_a_request_goes_through_the_adapter() -> None:
+    start = [power_on(), bytes.fromhex(LIST), bytes.fromhex("50 0300 02 29000000 00000000")]
+    arrival = bytes.fromhex(EVENTS[1][0])
+    told = serve(batch(start) + batch([arrival]))
+    size, count = struct.unpack_from("<II", told)
+    code, instance, ticket, upstream = struct.unpack_from("<BHII", told, 8 + size + 8)
+    assert (code, instance, ticket) == (20, 3, TICKET) and upstream in (FIRST, SECOND)
+
+
+def test_a_restart_in_one_batch_forgets_everything() -> None:
+    members = bytes.fromhex("50 0300 02 29000000 00000000")
+    start = [power_on(), bytes.fromhex(LIST), members]
+    again = [bytes.fromhex("28 0300"), power_on(seed=10), members]
+    late = bytes.fromhex(EVENTS[5][0])
+    told = serve(batch(start) + batch([bytes.fromhex(EVENTS[1][0])]) + batch(again) + batch([late]))
+    assert told.endswith(bytes(8))  # the late outcome means nothing to the new instance
+
+
+def test_a_list_number_is_resolved_in_event_order() -> None:
+    short = bytes.fromhex("6e 00000000 00000000")
+    members = bytes.fromhex("50 0300 01 29000000 00000000")
+    data = bytes.fromhex(LIST) + members + short + members
+    first, second = wire.Decoder().batch(data, 4)
+    assert isinstance(first[1], api.UpstreamsUpdated) and len(first[1].upstreams) == 2
+    assert isinstance(second[1], api.UpstreamsUpdated) and second[1].upstreams == []
+
+
+@pytest.mark.parametrize(("data", "words"), [
+    (bytes(7), "batch 0: truncated header: 7 of 16 bytes"),
+    (bytes.fromhex(EMPTY) + bytes.fromhex(THREE)[:30], "batch 1: truncated body"),
+    (batch([b"\x07\x03\x00"]), "record 0 at byte 0: unknown event code 7"),
+    (batch([b"\x32\x03\x00\x01"]), "record 0 at byte 0: truncated"),
+    (struct.pack("<IIQ", 3, 0, 5) + b"abc", "3 bytes left over"),
+    (batch([bytes.fromhex("50 0300 02 29000000 05000000")]), "upstream list 5 was never sent"),
+    (batch([bytes.fromhex("0a 0300 c4913a5d 00 074a1203 6300 44480000 01 00")]), "unknown outcome 99"),
+    (batch([bytes.fromhex("0a 0300 c4913a5d 00 074a1203 0000 44480000 01 01 0000c07f")]), "finite"),
+    (batch([bytes.fromhex("6e 00000000 01000000 074a1203 00 00 0000 09 0000803f 0000000000000000")]),
+     "unknown upstream condition 9"),
+    (batch([power_on("instances=3\nnonsense")]), "settings line 2: expected path=value"),
+    (batch([power_on(OPTIONS.replace("instances=3", "instances=many"))]),
+     "setting instances: expected a number"),
+    (batch([power_on(OPTIONS.replace("instances=3\n", ""))]), "setting instances is missing"),
+    (batch([power_on(OPTIONS.replace("most-tries=4", "most-tries=-4"))]), "max_attempts of 1 or more"),
+    (batch([power_on(OPTIONS.replace("=at_most_once", "=sometimes"))]), "expected one of idempotent"),
+    (batch([power_on(OPTIONS.replace("cancel=true", "cancel=yes"))]), "expected one of true, false"),
+])
+def test_what_is_malformed_is_told_in_one_line(data: bytes, words: str) -> None:
+    with pytest.raises(wire.WireError) as caught:
+        serve(data)
+    assert words in str(caught.value) and "\n" not in str(caught.value)
+
+
+def test_settings_are_read_and_unknown_keys_skipped() -> None:
+    settings = wire.parse_settings(OPTIONS + "brand-new.key=1\nfees.fleet=0.2\n")
+    assert settings == wire.parse_settings(OPTIONS)
+    assert [c.effect for c in settings.classes] == ["idempotent", "at_most_once", "deduplicated"]
+    assert settings.classes[2].memory_us == 1_200_000 and settings.classes[2].group == "cell"
+    assert settings.tenants[1].allowance_per_s == 152.0 and settings.ask_within_us == 10_000_000
+    assert settings.list_on_request and settings.second_copies and not settings.probes
+
+
+def test_report_names_are_translated_and_unknown_ones_kept() -> None:
+    settings = wire.parse_settings(OPTIONS.replace("report.names=", "report.names=busy,q,moon"))
+    assert settings.report_names == ["utilization", "queued", "moon"]
+
+
+def test_an_exception_in_the_decisions_is_told_as_an_internal_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    def broken(*_: object) -> list[api.Action]:
+        raise IndexError("index out of range")
+
+    monkeypatch.setattr(Balancer, "handle", broken)
+    told = serve(batch([power_on()]) + batch([bytes.fromhex("32 0300 4d000000")]))
+    assert b"IndexError: index out of range" in told
+
+
+def test_instances_act_alike_in_one_process_and_in_several() -> None:
+    def day(instances: list[int]) -> dict[int, list[bytes]]:
+        host = adapter.Host()
+        seen: dict[int, list[bytes]] = {i: [] for i in instances}
+        start = [bytes.fromhex(LIST)]
+        for i in instances:
+            start += [power_on(instance=i, seed=i), struct.pack("<BHBII", 80, i, 2, 1, 0)]
+        host.batch(1_000_000, len(start), b"".join(start))
+        for n in range(50):
+            for i in instances:
+                record = struct.pack("<BHIBIQIBQ", 70, i, 100 * n + i, n % 3, 0, 0, 0, 0, 1_600_000 + n)
+                seen[i].append(host.batch(1_000_000 + n, 1, record))
+        return seen
+
+    together = day([1, 2, 3])
+    assert together == {**day([1]), **day([2]), **day([3])}
+
+
+def test_a_class_out_of_range_is_named_and_ends_the_adapter() -> None:
+    arrival = struct.pack("<BHIBIQIBQ", 70, 3, 1, 9, 0, 0, 0, 0, 9_000_000)
+    with pytest.raises(wire.WireError, match="batch 1: instance 3: request class 9 of 3"):
+        serve(batch([power_on()]) + batch([arrival]))
