--- a/glenkeel/wire.py
+++ b/glenkeel/wire.py
@@ -235,15 +235,8 @@
 class _Options:
     """The start-up settings' path=value pairs, read with checks."""
 
-    def __init__(self, text: str) -> None:
-        self.pairs: dict[str, str] = {}
-        for number, line in enumerate(text.splitlines(), 1):
-            if not line.strip():
-                continue
-            path, equals, value = line.partition("=")
-            if not equals or not path:
-                raise WireError(f"settings line {number}: expected path=value, got {line!r}")
-            self.pairs[path] = value
+    def __init__(self, pairs: dict[str, str]) -> None:
+        self.pairs = pairs
 
     def text(self, path: str, default: str | None = None) -> str:
         value = self.pairs.get(path, default)
@@ -299,7 +292,20 @@
 
 def parse_settings(text: str) -> api.Settings:
     """The settings of one instance; keys that are not known are skipped."""
-    o = _Options(text)
+    pairs: dict[str, str] = {}
+    for number, line in enumerate(text.splitlines(), 1):
+        if not line.strip():
+            continue
+        path, equals, value = line.partition("=")
+        if not equals or not path:
+            raise WireError(f"settings line {number}: expected path=value, got {line!r}")
+        pairs[path] = value
+    return settings_from_pairs(pairs)
+
+
+def settings_from_pairs(pairs: dict[str, str]) -> api.Settings:
+    """The settings from their paths and values; keys that are not known are skipped."""
+    o = _Options(pairs)
     try:
         return api.Settings(
             classes=[_class(o, f"request-classes.{i}.") for i in range(o.whole("request-classes.count"))],
--- /dev/null
+++ b/plovertrail/discovery.py
@@ -0,0 +1,182 @@
+"""The upstream list: discovery's entries, and the watch on their changes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import time
+from collections.abc import Callable
+from typing import Any
+
+import httptools
+
+from glenkeel.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
+from plovertrail.config import parse_address
+from plovertrail.host import clock_us
+
+log = logging.getLogger(__name__)
+
+SILENCE_S = 4.5  # an empty line comes every 2 s
+LONGEST_LINE = 4 * 1024 * 1024
+STATES = {"active": UpstreamState.READY, "leaving": UpstreamState.DRAINING, "left": UpstreamState.GONE}
+Address = tuple[str, int]
+Listener = Callable[[UpstreamsUpdated, dict[int, Address]], None]
+
+
+class Directory:
+    """Turns discovery's entries into the module's: a number for each uid, times on the module's clock."""
+
+    def __init__(self, zones: list[str], kinds: list[str]) -> None:
+        self.zones = zones
+        self.kinds = kinds
+        self.idents: dict[str, int] = {}
+        self.last_ident = 0
+        self.to_clock_us = clock_us() - time.time_ns() // 1000  # from Unix time, once for all
+
+    def read(self, lines: Any, kind: ListKind | None = None) -> tuple[UpstreamsUpdated, dict[int, Address]]:
+        """The event for one list, with the addresses of its entries; raises on what is malformed."""
+        if kind is None:
+            kind = ListKind.FULL if lines["all"] else ListKind.DELTA
+        entries, addresses = [], {}
+        for line in lines["targets"]:
+            entry, addresses_of = self.entry(line)
+            entries.append(entry)
+            addresses[entry.id] = addresses_of
+        if kind is not ListKind.DELTA:
+            listed = {line["uid"] for line in lines["targets"]}
+            self.idents = {uid: ident for uid, ident in self.idents.items() if uid in listed}
+        for line in lines["targets"]:
+            if STATES[line["state"]] is UpstreamState.GONE:
+                self.idents.pop(line["uid"], None)
+        return UpstreamsUpdated(kind, entries, int(lines["rev"])), addresses
+
+    def entry(self, line: Any) -> tuple[Upstream, Address]:
+        uid = line["uid"]
+        if uid not in self.idents:
+            self.last_ident += 1
+            self.idents[uid] = self.last_ident
+        boot_ms = int(line["boot_ms"])
+        return Upstream(
+            id=self.idents[uid],
+            state=STATES[line["state"]],
+            zone=self.zones.index(line["az"]) if line["az"] in self.zones else len(self.zones),
+            kind=self.kinds.index(line["model"]) if line["model"] in self.kinds else len(self.kinds),
+            cell=int(line["pod_group"]),
+            weight=float(line["capacity_hint"]),
+            started_us=boot_ms * 1000 + self.to_clock_us if boot_ms else 0,
+        ), parse_address(line["endpoint"])
+
+
+class Watch(asyncio.Protocol):
+    """One call for changes: it lasts until its connection ends, and then has failed."""
+
+    def __init__(self, discovery: Discovery) -> None:
+        self.discovery = discovery
+        self.parser = httptools.HttpResponseParser(self)
+        self.transport: asyncio.Transport | None = None
+        self.pending = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        host, port = self.discovery.address
+        transport.write(b"GET /discovery/hosts?follow=1&since=%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n"
+                        % (self.discovery.version, host.encode(), port))
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except Exception as error:
+            log.warning("the watch can't be read: %r", error)
+            self.fail()
+
+    def on_body(self, data: bytes) -> None:
+        if self.parser.get_status_code() != 200:
+            return
+        self.discovery.heard()
+        *lines, self.pending = (self.pending + data).split(b"\n")
+        if len(self.pending) > LONGEST_LINE:
+            raise ValueError("a line without end")
+        for line in lines:
+            if line.strip():
+                self.discovery.changed(json.loads(line))
+
+    def on_message_complete(self) -> None:
+        self.fail()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.fail()
+
+    def fail(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+        self.discovery.ended(self)
+
+
+class Discovery:
+    """Holds the watch that the module has asked for, and tells how it fails, once for each call."""
+
+    def __init__(self, address: Address, directory: Directory, listener: Listener) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.address = address
+        self.directory = directory
+        self.listener = listener
+        self.version = 0
+        self.watch: Watch | None = None
+        self.dial: asyncio.Task[None] | None = None
+        self.heard_at = 0.0
+        self.timer: asyncio.TimerHandle | None = None
+
+    def cached(self, lines: Any) -> None:
+        """The list as the sidecar last had it."""
+        event, addresses = self.directory.read(lines, ListKind.CACHED)
+        self.version = event.version
+        self.listener(event, addresses)
+
+    def subscribe(self, active: bool) -> None:
+        """Ask for changes from now on, in place of an earlier call; or stop."""
+        self.stop()
+        if active:
+            self.watch = Watch(self)
+            self.heard()
+            self.timer = self.loop.call_later(SILENCE_S, self.check)
+            self.dial = self.loop.create_task(self.connect(self.watch))
+
+    def stop(self) -> None:
+        watch, self.watch = self.watch, None
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.dial is not None:
+            self.dial.cancel()
+        if watch is not None and watch.transport is not None:
+            watch.transport.abort()
+
+    async def connect(self, watch: Watch) -> None:
+        try:
+            await self.loop.create_connection(lambda: watch, *self.address)
+        except OSError:
+            self.ended(watch)
+
+    def heard(self) -> None:
+        self.heard_at = time.monotonic()
+
+    def check(self) -> None:
+        """Hazard: a machine that is cut off says nothing, and its watch would stay open for ever."""
+        left = self.heard_at + SILENCE_S - time.monotonic()
+        if left > 0:
+            self.timer = self.loop.call_later(left, self.check)
+        elif self.watch is not None:
+            self.watch.fail()
+            if self.watch is not None:
+                self.ended(self.watch)
+
+    def changed(self, lines: Any) -> None:
+        event, addresses = self.directory.read(lines)
+        self.version = event.version
+        self.listener(event, addresses)
+
+    def ended(self, watch: Watch) -> None:
+        if watch is self.watch:
+            self.stop()
+            self.listener(UpstreamsUpdated(ListKind.FAILED), {})
