--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import time
 
 from glenkeel.wire import WireError
 from plovertrail import config
@@ -15,16 +16,30 @@
 from plovertrail.server import Server
 from plovertrail.upstreams import Pool
 
+LINES_A_SECOND = 5
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
 LONGEST_STOP_S = 3.6  # SIGKILL comes 0.7 s after the longest deadline, of 3 s, at the soonest
 
 
-async def serve(settings: config.Config) -> None:
-    """Serve until SIGTERM, then answer what comes and what is open."""
+class RateLimit(logging.Filter):
+    """Lets a few lines a second through: the log may be a pipe, and a full one would hold up everything."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.second = 0
+        self.lines = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second, self.lines = second, 0
+        self.lines += 1
+        return self.lines <= LINES_A_SECOND
+
+
+async def serve(settings: config.Config, stop: asyncio.Event) -> None:
+    """Serve until told to stop, then answer what comes and what is open."""
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
     pool = Pool(settings.idle_us, settings.settings.connect_timeout_us)
     host = Host(settings.settings, settings.seed, pool)
     directory = Directory(settings.zones, settings.kinds)
@@ -33,7 +48,7 @@
     if settings.known:
         discovery.cached(settings.known)
     host.start()
-    server = Server(host, settings.settings)
+    server = Server(host, settings.settings, settings.sockets // 2)
     await server.listen(settings.listen)
     await stop.wait()
     started = loop.time()
@@ -46,14 +61,22 @@
         server.stop_idle()
 
 
+async def run(settings: config.Config) -> None:
+    """Serve until SIGTERM."""
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    await serve(settings, stop)
+
+
 def main() -> int:
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
+    logging.getLogger().handlers[0].addFilter(RateLimit())
     try:
         settings = config.load(os.environ["BALANCER_CONFIG"])
     except (OSError, KeyError, TypeError, ValueError, WireError) as error:
         print(f"plovertrail: configuration: {error!r}", file=sys.stderr)
         return 2
-    asyncio.run(serve(settings))
+    asyncio.run(run(settings))
     return 0
 
 
--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -80,6 +80,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        if self is not self.discovery.watch:  # it was replaced while its connection came up
+            transport.abort()
+            return
         host, port = self.discovery.address
         transport.write(b"GET /discovery/hosts?follow=1&since=%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n"
                         % (self.discovery.version, host.encode(), port))
@@ -167,9 +170,8 @@
         if left > 0:
             self.timer = self.loop.call_later(left, self.check)
         elif self.watch is not None:
+            log.warning("the watch is silent")
             self.watch.fail()
-            if self.watch is not None:
-                self.ended(self.watch)
 
     def changed(self, lines: Any) -> None:
         event, addresses = self.directory.read(lines)
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -173,10 +173,6 @@
         """Whether there is an upstream to send to."""
         return bool(self.addresses)
 
-    @property
-    def unanswered(self) -> int:
-        return sum(1 for request in self.requests.values() if not request.over)
-
     # Events in, actions out
 
     def _tell(self, event: api.Event) -> None:
--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -14,6 +14,8 @@
 
 LONGEST_BODY = 64 * 1024
 LONGEST_HEAD = 16 * 1024
+LONGEST_READ_US = 5_000_000  # a request whose bytes come more slowly than this is given up
+LINGER_S = 1.0  # how long a connection that is to end stays for its client to read what it was told
 OWN_HEADERS = frozenset((  # of this connection, or written anew for each attempt
     b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
     b"content-length", b"transfer-encoding", b"x-deadline-ms"))
@@ -47,8 +49,8 @@
         """Check a request and give it its place in the settings."""
         found = {name.lower(): value.strip() for name, value in headers}
         name = target.split(b"?")[0].lstrip(b"/").split(b"/")[0]
-        index = self.classes.get(found.get(b"x-class", name))
-        if index is None:
+        index = self.classes.get(name)
+        if index is None or found.get(b"x-class", name) != name:
             raise Reject(404, "unknown class")
         if not found.get(b"x-request-id"):
             raise Reject(400, "no X-Request-Id")
@@ -77,10 +79,12 @@
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
-        self.open = 0  # the request that has been taken and not answered
+        self.open = False  # a request has been taken and not answered
+        self.ident = 0  # the host's name for it
         self.begun_us = 0  # when the message now being read began
         self.extra = False  # bytes came while a request was open
         self.last = False  # the connection closes with the next answer
+        self.ending = False  # what still comes is not read any more
         self.reset()
 
     def reset(self) -> None:
@@ -88,19 +92,19 @@
         self.begun_us = 0
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
-        self.head_size = 0
+        self.size = 0
         self.body = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        self.server.clients.add(self)
+        self.server.connected(self)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.server.clients.discard(self)
+        self.server.clients.pop(self, None)
         if self.open:
-            ident, self.open = self.open, 0
-            self.server.host.gone(ident)
+            self.open = False
+            self.server.host.gone(self.ident)
 
     # A request, as the parser reads it
 
@@ -111,21 +115,14 @@
     def on_url(self, url: bytes) -> None:
         if not self.whole:
             self.target += url
-            self.grow_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.whole:
             return
-        self.grow_head(len(name) + len(value))
         if name.lower() == b"transfer-encoding":
             raise Reject(400, "no chunked requests")
         self.headers.append((name, value))
 
-    def grow_head(self, size: int) -> None:
-        self.head_size += size
-        if self.head_size > LONGEST_HEAD:
-            raise Reject(413, "the head is too long")
-
     def on_body(self, data: bytes) -> None:
         if not self.whole:
             self.body += data
@@ -136,11 +133,14 @@
         self.whole = True
 
     def data_received(self, data: bytes) -> None:
+        if self.ending:
+            return
         if self.open:
             self.extra = True  # pipelined: the open request is answered, then the connection ends
             return
         if self.begun_us == 0:
             self.begun_us = clock_us()
+        self.size += len(data)
         try:
             self.feed(data)
             if self.whole:
@@ -162,6 +162,8 @@
             if not self.whole:
                 raise Reject(400, "malformed request") from None
             self.extra = True
+        if not self.whole and self.size > LONGEST_HEAD + len(self.body):
+            raise Reject(413, "the head is too long")  # hazard: one without end would fill the memory
 
     def take(self) -> None:
         """The request has come whole."""
@@ -173,22 +175,11 @@
             self.write(200 if self.server.ready else 503, b"")
             return
         call = self.server.catalogue.call(method, target, headers, body)
-        answers: list[Answer] = []
-
-        def reply(answer: Answer) -> None:
-            if self.open:
-                self.answer(answer)
-            else:
-                answers.append(answer)
-
-        ident = self.server.host.arrived(call, reply)
-        if answers:
-            self.answer(answers[0])
-        else:
-            self.open = ident
+        self.open = True
+        self.ident = self.server.host.arrived(call, self.answer)
 
     def answer(self, answer: Answer) -> None:
-        self.open = 0
+        self.open = False
         if answer.verdict is Verdict.SERVED:
             head = b"Content-Type: %s\r\n" % answer.content_type if answer.content_type else b""
             self.write(200, answer.body, head)
@@ -211,18 +202,40 @@
             data += b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
         self.transport.write(data)
         if last or self.extra:
-            self.transport.close()
+            self.end()
         else:
             self.reset()
 
+    def end(self) -> None:
+        """Hazard: closing with bytes unread resets the connection, and the client may lose its answer."""
+        assert self.transport is not None
+        self.ending = True
+        self.transport.write_eof()
+        asyncio.get_running_loop().call_later(LINGER_S, self.transport.abort)
+
+    @property
+    def idle(self) -> bool:
+        return not self.open and not self.ending and self.begun_us == 0
+
+    def close(self) -> None:
+        """End an idle connection."""
+        assert self.transport is not None
+        self.ending = True
+        self.transport.close()
+
+    def check(self, now_us: int) -> None:
+        if self.begun_us and not self.open and not self.ending and now_us > self.begun_us + LONGEST_READ_US:
+            self.write(408, b"", last=True)
+
 
 class Server:
     """All connections of the application."""
 
-    def __init__(self, host: Host, settings: Settings) -> None:
+    def __init__(self, host: Host, settings: Settings, most_clients: int) -> None:
         self.host = host
         self.catalogue = Catalogue(settings)
-        self.clients: set[Client] = set()
+        self.most_clients = most_clients
+        self.clients: dict[Client, None] = {}  # in the order of their coming
         self.stopping = False
         self.listener: asyncio.Server | None = None
 
@@ -233,13 +246,29 @@
     async def listen(self, address: tuple[str, int]) -> None:
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(lambda: Client(self), *address, backlog=512)
+        self.check()
+
+    def connected(self, client: Client) -> None:
+        """Hazard: with no descriptor left no upstream could be reached, so the oldest idle client goes."""
+        if len(self.clients) >= self.most_clients:
+            oldest = next((other for other in self.clients if other.idle), None)
+            if oldest is not None:
+                oldest.close()
+        self.clients[client] = None
+
+    def check(self) -> None:
+        """Hazard: half a request would hold its connection for ever."""
+        asyncio.get_running_loop().call_later(1.0, self.check)
+        now_us = clock_us()
+        for client in list(self.clients):
+            client.check(now_us)
 
     def stop_idle(self) -> None:
         """From now on each answer is the last one of its connection; idle connections close."""
         self.stopping = True
         for client in list(self.clients):
-            if not client.open and client.begun_us == 0 and client.transport is not None:
-                client.transport.close()
+            if client.idle:
+                client.close()
 
     def stop_listening(self) -> None:
         if self.listener is not None:
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -15,6 +15,7 @@
 log = logging.getLogger(__name__)
 
 LONGEST_BODY = 64 * 1024
+LONGEST_ANSWER = 1024 * 1024  # with its head and framing
 IDLE_MARGIN_US = 300_000  # an upstream may close a connection while a request is on its way to it
 Address = tuple[str, int]
 
@@ -71,6 +72,7 @@
         self.not_run = False
         self.content_type = b""
         self.body = bytearray()
+        self.received = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -109,6 +111,7 @@
         self.status = 0
         self.content_type = b""
         self.body = bytearray()
+        self.received = 0
         self.transport.write(attempt.data)
         if self.transport.is_closing():  # the write failed: the connection had broken before
             self.unsent = True
@@ -141,6 +144,7 @@
         self.status = self.parser.get_status_code()
         if self.status < 200:  # an interim answer; the final one follows
             self.not_run = False
+            self.content_type = b""
             return
         self.complete = True
         if not self.parser.should_keep_alive():
@@ -150,19 +154,19 @@
         if self.attempt is None or self.parser is None:
             self.close()  # bytes that nobody asked for
             return
+        self.received += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
-            if not self.complete:
-                self.close()
-                self.finish(Outcome.RESET)
-                return
-            self.closed = True
+            self.closed = True  # hazard: what follows would be taken for the next answer
         if self.complete:
             self.finish_complete()
+        elif self.closed or self.received > LONGEST_ANSWER:
+            self.close()  # hazard: an answer without end would fill the memory
+            self.finish(Outcome.RESET)
 
     def finish_complete(self) -> None:
-        if self.closed:
+        if self.closed or self.unsent:  # hazard: the rest of this request would be read as the next one
             self.close()
         if self.status == 200:
             outcome = Outcome.OK
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,95 @@
+"""The program that `run` in the deploy file starts: configuration, readiness, SIGTERM."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import time
+import tomllib
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from plovertrail.config import Config, flatten, load
+from tests.net import PATIENCE_S, entry, free_port, listing
+
+ROOT = Path(__file__).resolve().parent.parent
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+SETTINGS: dict[str, Any] = {
+    "accounts": [], "areas": ["a", "b"], "granularity": 5000,
+    "bounds": {"conn-idle": 5000000, "dial-timeout": 200000, "most-tries": 4, "cancel": True, "probes": True,
+               "retry-after": True, "second-copies": True},
+    "instances": 3, "invariants": {"ask-within": 10000000, "cold-share": 0.32, "fall": 2000000,
+    "overload-factor": 2.5, "warm-up": 8900000}, "kinds": ["m"], "locality": 1, "registry-mode": "on_request",
+    "report": {"how": "probe", "names": ["rif", "q"]}, "weights": "nominal",
+    "request-classes": [{"name": "pay", "aim": 400000, "deadline": 1200000, "effect": "at_most_once",
+                         "worth": 10.0}],
+}
+
+
+def configuration(folder: Path, **changes: Any) -> Path:
+    path = folder / "config.json"
+    whole = {"name": "n0", "listen": f"127.0.0.1:{free_port()}", "discovery": "127.0.0.1:1", "seed": "8c1f",
+             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
+             "known": listing(entry("u", 1))}
+    path.write_text(json.dumps(whole | changes))
+    return path
+
+
+@contextmanager
+def program(path: Path) -> Iterator[subprocess.Popen[bytes]]:
+    subprocess.run(["/bin/sh", "-c", DEPLOY["build"]], cwd=ROOT, check=True, timeout=600)
+    plain = {k: v for k, v in os.environ.items() if not k.startswith(("PYTHON", "VIRTUAL_ENV"))}
+    process = subprocess.Popen(["/bin/sh", "-c", DEPLOY["run"]], cwd=ROOT, stderr=subprocess.PIPE,
+                               env=plain | {"BALANCER_CONFIG": str(path)})
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def test_settings_are_read_by_their_names_on_the_simulators_wire(tmp_path: Path) -> None:
+    config: Config = load(str(configuration(tmp_path)))
+    assert (config.seed, config.sockets, config.idle_us) == (0x8C1F, 1024, 5_000_000)
+    assert (config.zones, config.kinds) == (["a", "b"], ["m"])
+    assert config.settings.zone == 1 and config.settings.list_on_request and config.settings.weighted
+    assert config.settings.report_names == ["in_flight", "queued"]
+    assert [kind.effect for kind in config.settings.classes] == ["at_most_once"]
+
+
+def test_nested_settings_become_pairs() -> None:
+    nested = {"a": {"b": True, "c": [1, 2]}, "d": [{"e": 0.5}], "f": []}
+    assert flatten(nested) == {"a.b": "true", "a.c": "1,2", "d.count": "1", "d.0.e": "0.5", "f.count": "0"}
+
+
+def test_the_program_is_ready_and_ends_with_0_on_sigterm(tmp_path: Path) -> None:
+    path = configuration(tmp_path)
+    port = int(json.loads(path.read_text())["listen"].split(":")[1])
+    with program(path) as process:
+        answer, ends = b"", time.monotonic() + PATIENCE_S
+        while not answer and time.monotonic() < ends:
+            assert process.poll() is None
+            try:
+                with socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S) as sock:
+                    sock.sendall(b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                    answer = sock.recv(100)
+            except ConnectionRefusedError:
+                time.sleep(0.02)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(PATIENCE_S) == 0
+
+
+@pytest.mark.parametrize("changes", [{"listen": "nowhere"}, {"settings": {}}, {"limits": {}}])
+def test_a_configuration_that_can_not_be_read_ends_it_with_one_line(tmp_path: Path,
+                                                                    changes: dict[str, Any]) -> None:
+    with program(configuration(tmp_path, **changes)) as process:
+        _, errors = process.communicate(timeout=PATIENCE_S)
+        assert process.returncode == 2 and len(errors.splitlines()) == 1
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,374 @@
+"""The real sidecar over loopback sockets: answers, outcomes, connections, bad input, the list, the end."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from glenkeel.balance import Balancer
+from glenkeel.interface import Event
+from tests.net import (
+    NOT_RUN,
+    OK,
+    PATIENCE_S,
+    Discovery,
+    Upstream,
+    answering,
+    entry,
+    listing,
+    request,
+    sidecar,
+    silent,
+    until,
+)
+
+ERROR = b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"
+BARE_503 = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+
+def status(answer: tuple[bytes, bytes]) -> int:
+    return int(answer[0].split(b" ")[1])
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    async def limited() -> None:
+        async with asyncio.timeout(3 * PATIENCE_S):
+            await test()
+
+    asyncio.run(limited())
+
+
+# Answers and outcomes
+
+
+def test_a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() -> None:
+    async def test() -> None:
+        upstream = Upstream(answering(b"HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nContent-Length: 6\r\n\r\n"
+                                      b"\x00\xff\r\n\r\n"))
+        async with sidecar(upstream) as it:
+            head, body = await it.ask(request("mark", "77", b"\x00body\r\n"))
+        assert status((head, body)) == 200 and body == b"\x00\xff\r\n\r\n" and b"Content-Type: a/b" in head
+        seen, sent = upstream.requests[0]
+        assert seen.startswith(b"POST /mark/it?x=1 HTTP/1.1\r\n") and sent == b"\x00body\r\n"
+        assert b"X-Request-Id: 77\r\n" in seen and b"Idempotency-Key: k\r\n" in seen
+        deadline_ms = int(seen.split(b"X-Deadline-Ms: ")[1].split(b"\r\n")[0])
+        assert 0 < deadline_ms <= 15_000
+
+    run(test)
+
+
+@pytest.mark.parametrize(("first", "expected", "attempts"), [
+    (NOT_RUN, 200, 2),  # never ran: an unsafe request may go again
+    (ERROR, 500, 1),
+    (BARE_503, 500, 1),  # it may have run; passing it on would be a refusal
+    (b"HTTP/1.1 504 Late\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", 200, 2),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", 500, 1),
+    (b"", 500, 1),
+    (b"noise\r\n\r\n", 500, 1),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n" + b"x" * 70_000, 500, 1),
+    (b"HTTP/1.1 200 OK\r\nX-Endless: " + b"x" * 1_100_000, 500, 1),
+    (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, 200, 1),
+])
+def test_an_unsafe_request_is_repeated_only_if_it_never_ran(first: bytes, expected: int,
+                                                            attempts: int) -> None:
+    async def test() -> None:
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            if total() > 1:
+                writer.write(OK)
+                return
+            if first:
+                writer.write(first)
+                await writer.drain()
+            if first.startswith(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r") or not first:
+                writer.close()
+
+        upstreams = [Upstream(script), Upstream(script)]
+
+        def total() -> int:
+            return sum(len(upstream.requests) for upstream in upstreams)
+
+        async with sidecar(*upstreams) as it:
+            answer = await it.ask(request("pay", body=b"b"))
+        assert (status(answer), total()) == (expected, attempts)
+
+    run(test)
+
+
+def test_a_refusal_tells_when_to_come_back_and_a_failed_connection_never_ran() -> None:
+    async def test() -> None:
+        gone = Upstream(silent)
+        await gone.start()
+        gone.stop()
+        known = listing(entry("u0", gone.port))
+        async with sidecar(known=known) as it:
+            answer = await it.ask(request("pay"))
+        assert status(answer) == 503
+        assert 0.0 < float(answer[0].split(b"Retry-After: ")[1].split(b"\r\n")[0]) <= 1.0
+
+    run(test)
+
+
+def test_a_silent_upstream_costs_the_answer_and_not_the_deadline() -> None:
+    async def test() -> None:
+        async with sidecar(Upstream(silent)) as it:
+            started = asyncio.get_running_loop().time()
+            answer = await it.ask(request("pay", deadline_ms=400))
+            took = asyncio.get_running_loop().time() - started
+        assert status(answer) == 500 and took >= 0.3
+
+    run(test)
+
+
+def test_a_module_that_stumbles_or_forgets_leaves_nobody_without_an_answer(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    handle = Balancer.handle
+
+    def stumbling(self: Balancer, now_us: int, event: Event) -> list[Any]:
+        if getattr(event, "key", 0):
+            raise RuntimeError("stumbled")
+        if getattr(event, "retried", False):
+            return []
+        return handle(self, now_us, event)
+
+    monkeypatch.setattr(Balancer, "handle", stumbling)
+
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:
+            assert status(await it.ask(request(extra="X-Key: 5\r\n"))) == 500
+            assert status(await it.ask(request(deadline_ms=300, extra="X-Retry: 1\r\n"))) == 500
+            assert status(await it.ask(request())) == 200
+
+    run(test)
+
+
+def test_nothing_is_sent_again_for_a_client_that_has_gone() -> None:
+    async def test() -> None:
+        held = asyncio.Event()
+
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            if number == 0:
+                await held.wait()
+                writer.write(NOT_RUN)
+            else:
+                writer.write(OK)
+
+        upstream = Upstream(script)
+        async with sidecar(upstream) as it:
+            _, writer = await it.connect()
+            writer.write(request())
+            await until(lambda: len(upstream.requests) == 1)
+            writer.close()
+            await writer.wait_closed()
+            await asyncio.sleep(0.05)
+            held.set()
+            assert status(await it.ask(request(ident="2"))) == 200
+        assert [b"X-Request-Id: 2" in head for head, _ in upstream.requests] == [False, True]
+
+    run(test)
+
+
+# Connections to upstreams
+
+
+def test_a_connection_is_used_again_but_not_after_more_than_an_answer_or_its_end() -> None:
+    async def test() -> None:
+        more, closing = OK + b"HTTP/1.1 200 OK\r\n", OK.replace(b"OK\r\n", b"OK\r\nConnection: close\r\n")
+        upstream = Upstream(answering(OK, more, OK, closing, OK))
+        async with sidecar(upstream) as it:
+            for number in range(5):
+                assert (await it.ask(request(ident=str(number))))[1] == b"done"
+        assert upstream.connections == 3
+
+    run(test)
+
+
+def test_an_idle_connection_is_closed_before_the_upstream_would() -> None:
+    async def test() -> None:
+        ended = asyncio.Event()
+
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            writer.write(OK)
+            if not await reader.read(1):
+                ended.set()
+            raise ConnectionResetError
+
+        async with sidecar(Upstream(script), idle_us=400_000) as it:
+            await it.ask(request())
+            await ended.wait()
+
+    run(test)
+
+
+# Bad input
+
+
+@pytest.mark.parametrize(("data", "expected"), [
+    (b"noise\r\n\r\n", 400),
+    (request("read").replace(b"read", b"gone"), 404),
+    (request("read", extra="X-Class: pay\r\n"), 404),
+    (request("read", ident=""), 400),
+    (request("read", deadline_ms="soon"), 400),
+    (request("read", deadline_ms=-5), 400),
+    (request("mark").replace(b"Idempotency-Key", b"Other"), 400),
+    (request("pay").replace(b"POST", b"GET"), 400),
+    (request("pay").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"0\r\n\r\n", 400),
+    (request("pay").replace(b"Content-Length: 0", b"Content-Length: -1"), 400),
+    (request("pay", body=b"x" * 70_000), 413),
+    (b"GET /read HTTP/1.1\r\nX-Endless: " + b"x" * 20_000, 413),
+])
+def test_input_that_is_not_taken_gets_an_error_and_the_end_of_its_connection(data: bytes,
+                                                                             expected: int) -> None:
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        async with sidecar(upstream) as it:
+            reader, writer = await it.connect()
+            writer.write(data)
+            answer = await reader.read()
+            writer.close()
+            assert int(answer.split(b" ")[1]) == expected and b"Connection: close" in answer
+            assert upstream.requests == []
+            assert status(await it.ask(request())) == 200
+
+    run(test)
+
+
+def test_of_pipelined_requests_the_first_is_served_and_the_next_turned_away() -> None:
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        async with sidecar(upstream) as it:
+            reader, writer = await it.connect()
+            writer.write(request(ident="1") + request(ident="2"))
+            answers = await reader.read()
+            writer.close()
+        assert [part[:3] for part in answers.split(b"HTTP/1.1 ")[1:]] == [b"200", b"400"]
+        assert len(upstream.requests) == 1
+
+    run(test)
+
+
+def test_many_idle_clients_make_room_for_new_ones() -> None:
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:  # 200 descriptors
+            idle = [await it.connect() for _ in range(150)]
+            assert status(await it.ask(request())) == 200
+            assert await idle[0][0].read() == b""
+            for _, writer in idle:
+                writer.close()
+
+    run(test)
+
+
+# The list
+
+
+def test_the_list_as_known_is_used_at_once_and_changes_as_soon_as_they_come() -> None:
+    async def test() -> None:
+        old, new, discovery = Upstream(answering(OK)), Upstream(answering(OK)), Discovery()
+        await new.start()
+        async with sidecar(old, discovery=discovery) as it:
+            assert status(await it.ask(request())) == 200 and len(old.requests) == 1
+            await discovery.watched()
+            assert b"follow=1&since=1 " in discovery.calls[0]
+            changes = [entry("u0", old.port, "leaving"), entry("u1", new.port)]
+            discovery.line(listing(*changes, rev=2, full=False))
+
+            async def moved() -> bool:
+                assert status(await it.ask(request())) == 200
+                return bool(new.requests)
+
+            while not await moved():
+                pass
+            before = len(old.requests)
+            for _ in range(5):
+                await moved()
+            assert len(old.requests) == before
+            discovery.writers[-1].transport.abort()
+            await discovery.watched()
+            assert b"since=2 " in discovery.calls[1]
+        new.stop()
+
+    run(test)
+
+
+def test_a_list_that_can_not_be_read_ends_the_watch_and_leaves_the_old_list() -> None:
+    async def test() -> None:
+        upstream, discovery = Upstream(answering(OK)), Discovery()
+        async with sidecar(upstream, discovery=discovery) as it:
+            await discovery.watched()
+            discovery.line({"rev": 2, "all": True, "targets": [{"uid": "u0"}]})
+            await discovery.watched()
+            assert status(await it.ask(request())) == 200
+
+    run(test)
+
+
+def test_a_silent_watch_fails_and_is_asked_for_again() -> None:
+    async def test() -> None:
+        discovery = Discovery()
+        async with sidecar(Upstream(answering(OK)), discovery=discovery):
+            await discovery.watched()
+            discovery.line(listing(rev=2, full=False))
+            await discovery.watched()
+            assert len(discovery.calls) == 2
+
+    run(test)
+
+
+def test_up_says_200_only_when_there_is_an_upstream() -> None:
+    async def test() -> None:
+        up = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+        async with sidecar(known=listing()) as it:
+            assert status(await it.ask(up)) == 503
+        async with sidecar(Upstream(silent)) as it:
+            assert status(await it.ask(up)) == 200
+
+    run(test)
+
+
+# The end
+
+
+def test_when_told_to_stop_it_serves_what_is_open_and_what_still_comes() -> None:
+    async def test() -> None:
+        held = asyncio.Event()
+
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            await held.wait()
+            writer.write(OK)
+
+        upstreams = [Upstream(script), Upstream(script)]  # one slot each
+
+        def total() -> int:
+            return sum(len(upstream.requests) for upstream in upstreams)
+
+        async with sidecar(*upstreams) as it:
+            idle_reader, idle_writer = await it.connect()
+            reader, writer = await it.connect()
+            writer.write(request(ident="1"))
+            await until(lambda: total() == 1)
+            it.stop.set()
+            assert await idle_reader.read() == b""
+            late_reader, late_writer = await it.connect()
+            late_writer.write(request(ident="2"))
+            await until(lambda: total() == 2)
+            held.set()
+            for each in (reader, late_reader):
+                head, body = await read(each)
+                assert body == b"done" and b"Connection: close" in head
+            for client in (idle_writer, writer, late_writer):
+                client.close()
+            await it.task
+
+    async def read(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
+        whole = await reader.read()
+        head, _, body = whole.partition(b"\r\n\r\n")
+        return head, body
+
+    run(test)
