--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
 
 from glenkeel.balance import Balancer
-from glenkeel.interface import Event
+from glenkeel.interface import Event, Outcome
+from plovertrail.host import Call, Result
+from plovertrail.upstreams import Attempt, Connection, Pool
 from tests.net import (
     NOT_RUN,
     OK,
@@ -205,6 +208,37 @@
     run(test)
 
 
+@pytest.mark.parametrize("early", [b"", OK])
+def test_a_request_that_was_not_written_whole_never_ran_and_its_connection_ends(early: bytes) -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        pool, results = Pool(60_000_000, 10_000_000), list[Result]()
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            sock, peer = socket.socket(), None
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            sock.connect(listener.getsockname())
+            sock.setblocking(False)
+            peer, _ = listener.accept()
+        connection = Connection(pool, peer.getsockname(), sock)
+        call = Call(b"POST", b"/pay", [], b"x" * 1_000_000, 0, 0, 1)
+        connection.attempt = Attempt(pool, connection.address, call.body, results.append)
+        await loop.create_connection(lambda: connection, sock=sock)
+        assert connection.unsent
+        if early:
+            peer.sendall(early)
+            await until(lambda: bool(results))
+        peer.close()
+        await until(lambda: bool(results))
+        assert [result.outcome for result in results] == [Outcome.OK if early else Outcome.CONNECT_FAILED]
+        assert pool.idle == {} and connection.closed
+        pool.sweeper.cancel()
+
+    run(test)
+
+
 # Bad input
 
 
