--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import signal
@@ -17,7 +18,7 @@
 import pytest
 
 from plovertrail.config import Config, flatten, load
-from tests.net import PATIENCE_S, entry, free_port, listing
+from tests.net import OK, PATIENCE_S, Upstream, entry, free_port, listing, read_message, request
 
 ROOT = Path(__file__).resolve().parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
@@ -87,6 +88,61 @@
         assert process.wait(PATIENCE_S) == 0
 
 
+def test_sigterm_under_load_leaves_nothing_that_ran_without_its_answer(tmp_path: Path) -> None:
+    async def slow(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                   writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.05)
+        writer.write(OK)
+
+    async def client(name: int, port: int, stopped: asyncio.Event, answered: set[str]) -> None:
+        """Sends one request after another; after the stop until its connection is closed."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        for number in range(10_000):
+            ident = f"{name}-{number}"
+            try:
+                writer.write(request("pay", ident, b"b"))
+                head, _ = await read_message(reader)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                assert stopped.is_set()  # closed between requests
+                break
+            answered.add(ident)
+            if b"Connection: close" in head:
+                assert stopped.is_set()
+                break
+        writer.close()
+
+    async def test() -> None:
+        upstreams = [Upstream(slow) for _ in range(4)]
+        for upstream in upstreams:
+            await upstream.start()
+        known = listing(*(entry(f"u{i}", upstream.port) for i, upstream in enumerate(upstreams)))
+        path = configuration(tmp_path, known=known)
+        port = int(json.loads(path.read_text())["listen"].split(":")[1])
+        stopped, answered = asyncio.Event(), set[str]()
+        with program(path) as process:
+            async with asyncio.timeout(PATIENCE_S):
+                while True:
+                    try:
+                        (await asyncio.open_connection("127.0.0.1", port))[1].close()
+                        break
+                    except ConnectionRefusedError:
+                        await asyncio.sleep(0.02)
+                async with asyncio.TaskGroup() as group:
+                    for name in range(8):
+                        group.create_task(client(name, port, stopped, answered))
+                    await asyncio.sleep(0.5)
+                    stopped.set()
+                    process.send_signal(signal.SIGTERM)
+                assert await asyncio.to_thread(process.wait, PATIENCE_S) == 0
+        for upstream in upstreams:
+            upstream.stop()
+        ran = {head.split(b"X-Request-Id: ")[1].split(b"\r\n")[0].decode()
+               for upstream in upstreams for head, _ in upstream.requests}
+        assert ran and ran <= answered
+
+    asyncio.run(test())
+
+
 @pytest.mark.parametrize("changes", [{"listen": "nowhere"}, {"settings": {}}, {"limits": {}}])
 def test_a_configuration_that_can_not_be_read_ends_it_with_one_line(tmp_path: Path,
                                                                     changes: dict[str, Any]) -> None:
