--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -133,7 +133,12 @@
 
     def cached(self, lines: Any) -> None:
         """The list as the sidecar last had it."""
-        event, addresses = self.directory.read(lines, ListKind.CACHED)
+        try:
+            event, addresses = self.directory.read(lines, ListKind.CACHED)
+        except Exception as error:
+            # hazard: an old list that can't be read would keep the sidecar from ever asking for a new one
+            log.warning("the known list can't be read: %r", error)
+            return
         self.version = event.version
         self.listener(event, addresses)
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -342,6 +342,24 @@
     run(test)
 
 
+def test_a_known_list_that_can_not_be_read_is_passed_over_and_a_new_one_asked_for() -> None:
+    async def test() -> None:
+        up = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+        upstream, discovery = Upstream(answering(OK)), Discovery()
+        known = {"rev": 7, "all": True, "targets": [{"uid": "u0", "state": "unheard of"}]}
+        async with sidecar(upstream, discovery=discovery, known=known) as it:
+            assert status(await it.ask(up)) == 503
+            await discovery.watched()
+            assert b"since=0 " in discovery.calls[0]
+            discovery.line(listing(entry("u0", upstream.port), rev=8))
+            async with asyncio.timeout(PATIENCE_S):
+                while status(await it.ask(up)) != 200:
+                    pass
+            assert status(await it.ask(request())) == 200
+
+    run(test)
+
+
 def test_a_silent_watch_fails_and_is_asked_for_again() -> None:
     async def test() -> None:
         discovery = Discovery()
