Read the configuration again on SIGHUP and move the watch at once

Now the handler is there before the first client, the file is read again, discovery's address is taken from it and the watch moves at once, asking for the whole list (since=0), as versions of the old address mean nothing at the new one. Requests, ids by uid and connections stay. A file that can't be read costs one line. Both signals are blocked once all is answered, or the end of the loop would give them their default back.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -16,7 +16,10 @@
 from plovertrail.server import Server
 from plovertrail.upstreams import Pool
 
+log = logging.getLogger(__name__)
+
 LINES_A_SECOND = 5
+UNREADABLE = (OSError, KeyError, TypeError, ValueError, WireError)
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
 LONGEST_STOP_S = 3.6  # SIGKILL comes 0.7 s after the longest deadline, of 3 s, at the soonest
 
@@ -37,7 +40,19 @@
         return self.lines <= LINES_A_SECOND
 
 
-async def serve(settings: config.Config, stop: asyncio.Event) -> None:
+async def follow(path: str, reload: asyncio.Event, discovery: Discovery) -> None:
+    """Read the configuration again whenever told to; of what it says only discovery's address is taken."""
+    while True:
+        await reload.wait()
+        reload.clear()
+        try:
+            discovery.move(config.load(path).discovery)
+        except UNREADABLE as error:
+            # hazard: a file half written or gone must cost neither requests nor the list
+            log.warning("the configuration can't be read and stays as it is: %r", error)
+
+
+async def serve(settings: config.Config, stop: asyncio.Event, reload: asyncio.Event) -> None:
     """Serve until told to stop, then answer what comes and what is open."""
     loop = asyncio.get_running_loop()
     pool = Pool(settings.idle_us, settings.settings.connect_timeout_us)
@@ -49,8 +64,10 @@
         discovery.cached(settings.known)
     host.start()
     server = Server(host, settings.settings, settings.sockets // 2)
+    following = loop.create_task(follow(settings.path, reload, discovery))
     await server.listen(settings.listen)
     await stop.wait()
+    following.cancel()
     started = loop.time()
     server.stop_idle()
     await asyncio.sleep(STILL_COMING_S)
@@ -62,10 +79,14 @@
 
 
 async def run(settings: config.Config) -> None:
-    """Serve until SIGTERM."""
-    stop = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
-    await serve(settings, stop)
+    """Serve until SIGTERM; SIGHUP brings a new configuration."""
+    stop, reload = asyncio.Event(), asyncio.Event()
+    loop = asyncio.get_running_loop()
+    # hazard: by default either signal ends the process and loses what is open; so before the first client
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    await serve(settings, stop, reload)
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGHUP})  # the loop's end frees them
 
 
 def main() -> int:
@@ -73,7 +94,7 @@
     logging.getLogger().handlers[0].addFilter(RateLimit())
     try:
         settings = config.load(os.environ["BALANCER_CONFIG"])
-    except (OSError, KeyError, TypeError, ValueError, WireError) as error:
+    except UNREADABLE as error:
         print(f"plovertrail: configuration: {error!r}", file=sys.stderr)
         return 2
     asyncio.run(run(settings))
--- a/plovertrail/config.py
+++ b/plovertrail/config.py
@@ -24,6 +24,7 @@
     kinds: list[str]
     idle_us: int  # upstreams close a connection that has been idle for this long
     known: Any  # the upstream list as last had, in discovery's form
+    path: str = ""  # the file, to be read again on SIGHUP
 
 
 def flatten(value: object, path: str = "") -> dict[str, str]:
@@ -66,4 +67,5 @@
         kinds=list(settings["kinds"]),
         idle_us=int(float(pairs["bounds.conn-idle"])),
         known=raw.get("known"),
+        path=path,
     )
--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -126,6 +126,7 @@
         self.directory = directory
         self.listener = listener
         self.version = 0
+        self.active = False  # the module wants to be told, also while it waits to ask again
         self.watch: Watch | None = None
         self.dial: asyncio.Task[None] | None = None
         self.heard_at = 0.0
@@ -145,12 +146,22 @@
     def subscribe(self, active: bool) -> None:
         """Ask for changes from now on, in place of an earlier call; or stop."""
         self.stop()
+        self.active = active
         if active:
             self.watch = Watch(self)
             self.heard()
             self.timer = self.loop.call_later(SILENCE_S, self.check)
             self.dial = self.loop.create_task(self.connect(self.watch))
 
+    def move(self, address: Address) -> None:
+        """Discovery has another address: watch there at once."""
+        if address == self.address:
+            return
+        self.address = address
+        self.version = 0  # hazard: the old one's versions mean nothing here, so the whole list is asked for
+        if self.active:
+            self.subscribe(True)
+
     def stop(self) -> None:
         watch, self.watch = self.watch, None
         if self.timer is not None:
--- a/tests/net.py
+++ b/tests/net.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 from glenkeel.interface import RequestClass, Settings
@@ -145,6 +146,27 @@
         return int(sock.getsockname()[1])
 
 
+SETTINGS: dict[str, Any] = {
+    "accounts": [], "areas": ["a", "b"], "granularity": 5000,
+    "bounds": {"conn-idle": 5000000, "dial-timeout": 200000, "most-tries": 4, "cancel": True, "probes": True,
+               "retry-after": True, "second-copies": True},
+    "instances": 3, "invariants": {"ask-within": 10000000, "cold-share": 0.32, "fall": 2000000,
+    "overload-factor": 2.5, "warm-up": 8900000}, "kinds": ["m"], "locality": 1, "registry-mode": "on_request",
+    "report": {"how": "probe", "names": ["rif", "q"]}, "weights": "nominal",
+    "request-classes": [{"name": "pay", "aim": 400000, "deadline": 1200000, "effect": "at_most_once",
+                         "worth": 10.0}],
+}
+
+
+def configuration(folder: Path, **changes: Any) -> Path:
+    path = folder / "config.json"
+    whole = {"name": "n0", "listen": f"127.0.0.1:{free_port()}", "discovery": "127.0.0.1:1", "seed": "8c1f",
+             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
+             "known": listing(entry("u", 1))}
+    path.write_text(json.dumps(whole | changes))
+    return path
+
+
 def request(kind: str = "read", ident: str = "1", body: bytes = b"", deadline_ms: object = 15_000,
             extra: str = "") -> bytes:
     method = "GET" if kind == "read" else "POST"
@@ -160,6 +182,7 @@
 
     port: int
     stop: asyncio.Event
+    reload: asyncio.Event
     task: asyncio.Task[None]
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -178,7 +201,8 @@
 
 @asynccontextmanager
 async def sidecar(*upstreams: Upstream, discovery: Discovery | None = None, idle_us: int = 60_000_000,
-                  known: dict[str, Any] | None = None, **changes: Any) -> AsyncIterator[Sidecar]:
+                  known: dict[str, Any] | None = None, path: str = "",
+                  **changes: Any) -> AsyncIterator[Sidecar]:
     """A sidecar whose known list holds these upstreams."""
     for upstream in upstreams:
         await upstream.start()
@@ -188,11 +212,11 @@
                               "max_retry_after_us": 1_000_000, "list_on_request": discovery is not None,
                               "ask_within_us": 10_000_000}
     known = known or listing(*(entry(f"u{i}", upstream.port) for i, upstream in enumerate(upstreams)))
-    port, stop = free_port(), asyncio.Event()
+    port, stop, reload = free_port(), asyncio.Event(), asyncio.Event()
     config = Config(listen=("127.0.0.1", port), discovery=("127.0.0.1", discovery.port if discovery else 1),
                     seed=1, sockets=200, settings=Settings(**(values | changes)), zones=["a"], kinds=["m"],
-                    idle_us=idle_us, known=known)
-    task = asyncio.create_task(serve(config, stop))
+                    idle_us=idle_us, known=known, path=path)
+    task = asyncio.create_task(serve(config, stop, reload))
     try:
         async with asyncio.timeout(PATIENCE_S):
             while True:
@@ -203,7 +227,7 @@
                 except ConnectionRefusedError:
                     assert not task.done()
                     await asyncio.sleep(0.01)
-        yield Sidecar(port, stop, task)
+        yield Sidecar(port, stop, reload, task)
     finally:
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -18,29 +18,10 @@
 import pytest
 
 from plovertrail.config import Config, flatten, load
-from tests.net import OK, PATIENCE_S, Upstream, entry, free_port, listing, read_message, request
+from tests.net import OK, PATIENCE_S, Upstream, configuration, entry, listing, read_message, request
 
 ROOT = Path(__file__).resolve().parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-SETTINGS: dict[str, Any] = {
-    "accounts": [], "areas": ["a", "b"], "granularity": 5000,
-    "bounds": {"conn-idle": 5000000, "dial-timeout": 200000, "most-tries": 4, "cancel": True, "probes": True,
-               "retry-after": True, "second-copies": True},
-    "instances": 3, "invariants": {"ask-within": 10000000, "cold-share": 0.32, "fall": 2000000,
-    "overload-factor": 2.5, "warm-up": 8900000}, "kinds": ["m"], "locality": 1, "registry-mode": "on_request",
-    "report": {"how": "probe", "names": ["rif", "q"]}, "weights": "nominal",
-    "request-classes": [{"name": "pay", "aim": 400000, "deadline": 1200000, "effect": "at_most_once",
-                         "worth": 10.0}],
-}
-
-
-def configuration(folder: Path, **changes: Any) -> Path:
-    path = folder / "config.json"
-    whole = {"name": "n0", "listen": f"127.0.0.1:{free_port()}", "discovery": "127.0.0.1:1", "seed": "8c1f",
-             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
-             "known": listing(entry("u", 1))}
-    path.write_text(json.dumps(whole | changes))
-    return path
 
 
 @contextmanager
@@ -70,20 +51,27 @@
     assert flatten(nested) == {"a.b": "true", "a.c": "1,2", "d.count": "1", "d.0.e": "0.5", "f.count": "0"}
 
 
-def test_the_program_is_ready_and_ends_with_0_on_sigterm(tmp_path: Path) -> None:
+def test_the_program_is_ready_lives_through_sighup_and_ends_with_0_on_sigterm(tmp_path: Path) -> None:
     path = configuration(tmp_path)
     port = int(json.loads(path.read_text())["listen"].split(":")[1])
     with program(path) as process:
-        answer, ends = b"", time.monotonic() + PATIENCE_S
-        while not answer and time.monotonic() < ends:
-            assert process.poll() is None
-            try:
-                with socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S) as sock:
-                    sock.sendall(b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-                    answer = sock.recv(100)
-            except ConnectionRefusedError:
-                time.sleep(0.02)
-        assert answer.startswith(b"HTTP/1.1 200 ")
+        def up() -> bytes:
+            ends = time.monotonic() + PATIENCE_S
+            while time.monotonic() < ends:
+                assert process.poll() is None
+                try:
+                    with socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S) as sock:
+                        sock.sendall(b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                        return sock.recv(100)
+                except ConnectionRefusedError:
+                    time.sleep(0.02)
+            return b""
+
+        assert up().startswith(b"HTTP/1.1 200 ")
+        for _ in range(3):
+            process.send_signal(signal.SIGHUP)
+            assert up().startswith(b"HTTP/1.1 200 ")
+        process.send_signal(signal.SIGHUP)
         process.send_signal(signal.SIGTERM)
         assert process.wait(PATIENCE_S) == 0
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -20,8 +21,10 @@
     Discovery,
     Upstream,
     answering,
+    configuration,
     entry,
     listing,
+    read_message,
     request,
     sidecar,
     silent,
@@ -424,3 +427,49 @@
         return head, body
 
     run(test)
+
+
+# A new configuration
+
+
+def test_a_new_configuration_moves_the_watch_and_keeps_what_is_open(
+        tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        held = asyncio.Event()
+
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            await held.wait()
+            writer.write(OK)
+
+        old, new, first, second = Upstream(script), Upstream(answering(OK)), Discovery(), Discovery()
+        await new.start()
+        await second.start()
+        path = tmp_path / "config.json"
+        path.write_text("{")
+        async with sidecar(old, discovery=first, path=str(path)) as it:
+            await first.watched()
+            first.line(listing(entry("u0", old.port), rev=900))
+            reader, writer = await it.connect()
+            writer.write(request("pay"))
+            await until(lambda: len(old.requests) == 1)
+            it.reload.set()
+            await until(lambda: "can't be read" in caplog.text)  # the old one stays
+            assert len(first.calls) == 1
+            configuration(tmp_path, discovery=f"127.0.0.1:{second.port}")
+            it.reload.set()
+            await second.watched()
+            assert b"since=0 " in second.calls[0]
+            second.line(listing(entry("u1", new.port), rev=3))
+            async with asyncio.timeout(PATIENCE_S):
+                while not new.requests:
+                    await it.ask(request(ident="2"))
+            it.reload.set()  # the same address: nothing to do
+            held.set()
+            assert status(await read_message(reader)) == 200
+            writer.close()
+            assert (len(first.calls), len(second.calls)) == (1, 1)
+        new.stop()
+        second.stop()
+
+    run(test)
