Bound, check and end the clients; connections by upstream; a spoilt answer shuts nothing

A 3 GB answer was refused only after 64 KiB, 101 went through asyncio's error path, a given-up dial still sent. Ruled out: the parser itself (each malformed length, line end and chunk was probed: all refused).

--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -13,7 +13,10 @@
 MOST_SLOTS = 8  # no upstream gets more from one sidecar, however quick its answers
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 INSTANT_FAULTS = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.ERROR, api.Outcome.RESET)
-REISSUED = (*INSTANT_FAULTS, api.Outcome.TIMEOUT)  # hazard: an upstream failing a part would lose them all
+ANSWERED = (api.Outcome.OK, api.Outcome.SPOILT)  # it has done the work, and its time tells of its load
+# hazard: an upstream failing a part would lose them all
+REISSUED = (*INSTANT_FAULTS, api.Outcome.SPOILT, api.Outcome.TIMEOUT)
+SPOILT_IN_A_ROW = 3  # more than a common cause spoils by chance: from then on it is this upstream's fault
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
 GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
 FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
@@ -56,6 +59,7 @@
         self.rest_until_us = 0
         self.next_cold = 0.0  # while it is cold, it waits till this sidecar has seen so many served
         self.pace = 1.0  # time of its answers beside those of the others, smoothed
+        self.spoilt = 0  # answers in a row that could not be read
         self.rests = False  # as last logged
 
 
@@ -236,10 +240,13 @@
         """How an attempt's end opens or closes its upstream's slots."""
         server, pool, outcome = attempt.server, attempt.server.pool, attempt.ended
         slow_us = self.half_aim_us(class_index)
-        load = min(2.0, elapsed_us / slow_us) if outcome is api.Outcome.OK else 2.0
-        pace = SLOWEST_PACE if outcome in INSTANT_FAULTS else elapsed_us / self.mean_us[class_index]
+        # hazard: what spoils answers may do so on all upstreams alike, and one spoilt answer would shut each
+        server.spoilt = server.spoilt + 1 if outcome is api.Outcome.SPOILT else 0
+        faulty = outcome in INSTANT_FAULTS or server.spoilt >= SPOILT_IN_A_ROW
+        load = min(2.0, elapsed_us / slow_us) if outcome in ANSWERED else 2.0
+        pace = SLOWEST_PACE if faulty else elapsed_us / self.mean_us[class_index]
         server.pace += (min(max(pace, 0.1), SLOWEST_PACE) - server.pace) / PACE_MEMORY
-        if outcome in (api.Outcome.OK, api.Outcome.TIMEOUT, api.Outcome.FULL):
+        if outcome in (*ANSWERED, api.Outcome.TIMEOUT, api.Outcome.FULL):
             # hazard: a light sidecar never fills its slots; they hold nothing back when all are slow; draws
             # are thinned, at once as queues stay for seconds, but not for one slow answer among quick ones
             pool.load += (load - pool.load) / 8
@@ -248,7 +255,7 @@
             pool.admitted = min(1.0, max(pool.admitted, LEAST_ADMITTED))
         # hazard: a heavy request is slow by itself; many answers are judged together, each for a little
         step = GROWTH * (FULL_LOAD - load) / max(server.window, 1.0)
-        if outcome in INSTANT_FAULTS:
+        if faulty:
             # hazard: what fails at once frees its slot at once and so would draw ever more
             server.window /= 2
         elif step < 0.0:
@@ -373,8 +380,8 @@
         attempt.ended = event.outcome
         attempt.server.used -= 1
         self.judge(attempt, event.elapsed_us, request.event.class_index)
-        attempt.server.pool.served += float(event.outcome is api.Outcome.OK)
-        if event.outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
+        attempt.server.pool.served += float(event.outcome in ANSWERED)
+        if event.outcome in (*ANSWERED, api.Outcome.TIMEOUT):
             # time-outs count too: else a slow fleet would go on being judged by its few quick answers
             index, mean_us = request.event.class_index, self.mean_us[request.event.class_index]
             self.mean_us[index] = max(1.0, mean_us + (event.elapsed_us - mean_us) / 8)
--- a/glenkeel/interface.py
+++ b/glenkeel/interface.py
@@ -20,6 +20,7 @@
     TIMEOUT = "timeout"  # no answer in time; may have run or be running
     CONNECT_FAILED = "connect_failed"  # no connection; never ran
     RESET = "reset"  # the connection broke; may have run
+    SPOILT = "spoilt"  # an answer that can't be read; has run
     CANCELLED = "cancelled"  # cancelled by us; may have run
     NOT_SENT = "not_sent"  # the sidecar could not send it; never ran
 
--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -55,7 +55,7 @@
 async def serve(settings: config.Config, stop: asyncio.Event, reload: asyncio.Event) -> None:
     """Serve until told to stop, then answer what comes and what is open."""
     loop = asyncio.get_running_loop()
-    pool = Pool(settings.idle_us, settings.settings.connect_timeout_us)
+    pool = Pool(settings.idle_us, settings.settings.connect_timeout_us, most=settings.sockets * 3 // 8)
     host = Host(settings.settings, settings.seed, pool)
     directory = Directory(settings.zones, settings.kinds)
     discovery = Discovery(settings.discovery, directory, host.list_changed)
@@ -63,9 +63,10 @@
     if settings.known:
         discovery.cached(settings.known)
     host.start()
-    server = Server(host, settings.settings, settings.sockets // 2)
+    # the rest is for discovery, the listener, the log and what is on its way to be closed
+    server = Server(host, settings.settings, most_clients=settings.sockets // 2)
     following = loop.create_task(follow(settings.path, reload, discovery))
-    await server.listen(settings.listen)
+    server.listen(settings.listen)
     await stop.wait()
     following.cancel()
     started = loop.time()
@@ -73,7 +74,7 @@
     await asyncio.sleep(STILL_COMING_S)
     server.stop_listening()
     server.stop_idle()
-    while server.clients and loop.time() < started + LONGEST_STOP_S:
+    while server.count() and loop.time() < started + LONGEST_STOP_S:
         await asyncio.sleep(0.01)
         server.stop_idle()
 
--- a/plovertrail/discovery.py
+++ b/plovertrail/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
 import json
 import logging
 import time
@@ -18,12 +19,20 @@
 log = logging.getLogger(__name__)
 
 SILENCE_S = 4.5  # an empty line comes every 2 s
-LONGEST_LINE = 4 * 1024 * 1024
+LONGEST_LINE = 1024 * 1024
 STATES = {"active": UpstreamState.READY, "leaving": UpstreamState.DRAINING, "left": UpstreamState.GONE}
 Address = tuple[str, int]
 Listener = Callable[[UpstreamsUpdated, dict[int, Address]], None]
 
 
+def endpoint(text: str) -> Address:
+    """Hazard: a name would be looked up, and a port out of range leave each attempt to its time-out."""
+    host, port = parse_address(text)
+    if port > 65_535:
+        raise ValueError(f"no port: {text!r}")
+    return str(ipaddress.IPv4Address(host)), port
+
+
 class Directory:
     """Turns discovery's entries into the module's: a number for each uid, times on the module's clock."""
 
@@ -65,7 +74,7 @@
             cell=int(line["pod_group"]),
             weight=float(line["capacity_hint"]),
             started_us=boot_ms * 1000 + self.to_clock_us if boot_ms else 0,
-        ), parse_address(line["endpoint"])
+        ), endpoint(line["endpoint"])
 
 
 class Watch(asyncio.Protocol):
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -40,6 +40,7 @@
     arrived_us: int
     deadline_us: int  # counted from its arrival
     class_index: int
+    ident: bytes = b""  # X-Request-Id
     tenant: int = 0
     key: int = 0
     cost_us: int = 0
@@ -87,13 +88,16 @@
 class Upstreams(Protocol):
     """The side of the upstreams."""
 
-    def start(self, address: tuple[str, int], call: Call, timeout_us: int,
+    def start(self, upstream: int, address: tuple[str, int], call: Call, timeout_us: int,
               ended: Callable[[Result], None]) -> Flight:
         """Begin an attempt. `ended` is called once, later, unless the attempt is given up first."""
 
-    def close_idle(self, address: tuple[str, int]) -> None:
+    def close_idle(self, upstream: int) -> None:
         """Close the idle connections to an upstream."""
 
+    def forget(self, upstream: int) -> None:
+        """Close those connections, and the busy ones once they are done."""
+
 
 @dataclass(slots=True)
 class Attempt:
@@ -216,8 +220,7 @@
         elif isinstance(action, api.Cancel):
             self._cancel(action)
         elif isinstance(action, api.CloseIdle):
-            if action.upstream in self.addresses:
-                self.upstreams.close_idle(self.addresses[action.upstream])
+            self.upstreams.close_idle(action.upstream)
         elif isinstance(action, api.Subscribe):
             self.subscribe(action.active)
         elif isinstance(action, api.Log):
@@ -278,7 +281,8 @@
         timeout_us = min(action.timeout_us or left_us, left_us)
         attempt.timer = self._at(now_us + timeout_us, self._timed_out, request, number)
         attempt.flight = self.upstreams.start(
-            address, request.call, timeout_us, lambda result: self._end_attempt(request, number, result))
+            action.upstream, address, request.call, timeout_us,
+            lambda result: self._end_attempt(request, number, result))
 
     def _timed_out(self, request: Request, number: int) -> None:
         self._give_up(request, number, api.Outcome.TIMEOUT)
@@ -314,6 +318,5 @@
                                     request.over))
 
     def _forget(self, ident: int) -> None:
-        address = self.addresses.pop(ident, None)
-        if address is not None:
-            self.upstreams.close_idle(address)
+        if self.addresses.pop(ident, None) is not None:
+            self.upstreams.forget(ident)
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -15,7 +15,8 @@
 log = logging.getLogger(__name__)
 
 LONGEST_BODY = 64 * 1024
-LONGEST_ANSWER = 1024 * 1024  # with its head and framing
+LONGEST_ANSWER = 256 * 1024  # with its head, what comes ahead of it, and its framing
+LONGEST_HEAD = 32 * 1024
 IDLE_MARGIN_US = 300_000  # an upstream may close a connection while a request is on its way to it
 Address = tuple[str, int]
 
@@ -33,16 +34,16 @@
 class Attempt:
     """One attempt: it has a connection, or waits until its connection is up."""
 
-    def __init__(self, pool: Pool, address: Address, data: bytes, ended: Callable[[Result], None]) -> None:
-        self.pool = pool
-        self.address = address
+    def __init__(self, data: bytes, ended: Callable[[Result], None]) -> None:
         self.data = data
         self.ended = ended
         self.connection: Connection | None = None
         self.written = False
+        self.given_up = False
 
     def give_up(self) -> None:
         """Nothing more comes of it. A connection that has carried it is closed; one still coming up stays."""
+        self.given_up = True
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.attempt = None
@@ -57,9 +58,10 @@
 class Connection(asyncio.Protocol):
     """A connection to an upstream; it carries one attempt at a time."""
 
-    def __init__(self, pool: Pool, address: Address, sock: socket.socket) -> None:
+    def __init__(self, pool: Pool, upstream: int, sock: socket.socket) -> None:
         self.pool = pool
-        self.address = address
+        self.upstream = upstream
+        self.forgotten = False  # the upstream is not in the list any more, or has moved
         self.sock = sock
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
@@ -73,12 +75,19 @@
         self.content_type = b""
         self.body = bytearray()
         self.received = 0
+        self.head_done = False
+        pool.connections.setdefault(upstream, set()).add(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.set_write_buffer_limits(high=0)  # so that we are told whether all has been written
-        if self.attempt is not None:
+        if self.forgotten:  # hazard: what drains gets nothing new, however long ago the attempt began
+            attempt, self.attempt = self.attempt, None
+            self.close()
+            if attempt is not None:
+                attempt.end(Result(Outcome.CONNECT_FAILED))
+        elif self.attempt is not None:
             self.send(self.attempt)
         else:
             self.pool.put_idle(self)
@@ -112,6 +121,7 @@
         self.content_type = b""
         self.body = bytearray()
         self.received = 0
+        self.head_done = False
         self.transport.write(attempt.data)
         if self.transport.is_closing():  # the write failed: the connection had broken before
             self.unsent = True
@@ -126,11 +136,16 @@
         if self.complete:
             return
         name = name.lower()
+        if name == b"content-length" and int(value) > LONGEST_BODY:
+            raise ValueError("the answer is too long")  # hazard: it may keep coming for hours
         if name == b"x-not-run":
             self.not_run = value.strip() == b"1"
         elif name == b"content-type":
             self.content_type = value
 
+    def on_headers_complete(self) -> None:
+        self.head_done = True
+
     def on_body(self, data: bytes) -> None:
         if not self.complete:
             self.body += data
@@ -143,7 +158,7 @@
             return
         self.status = self.parser.get_status_code()
         if self.status < 200:  # an interim answer; the final one follows
-            self.not_run = False
+            self.not_run = self.head_done = False
             self.content_type = b""
             return
         self.complete = True
@@ -155,15 +170,16 @@
             self.close()  # bytes that nobody asked for
             return
         self.received += len(data)
+        spoilt = False
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError:
-            self.closed = True  # hazard: what follows would be taken for the next answer
+        except Exception:  # a 101 and a fault in a callback are not of the parser's own kind
+            spoilt = self.closed = True  # hazard: what follows would be taken for the next answer
         if self.complete:
             self.finish_complete()
-        elif self.closed or self.received > LONGEST_ANSWER:
+        elif spoilt or self.received > (LONGEST_ANSWER if self.head_done else LONGEST_HEAD):
             self.close()  # hazard: an answer without end would fill the memory
-            self.finish(Outcome.RESET)
+            self.finish(Outcome.SPOILT)
 
     def finish_complete(self) -> None:
         if self.closed or self.unsent:  # hazard: the rest of this request would be read as the next one
@@ -184,7 +200,10 @@
         self.parser = None
         self.body = bytearray()
         if not self.closed:
-            self.pool.put_idle(self)
+            if self.forgotten:
+                self.close()
+            else:
+                self.pool.put_idle(self)
         if attempt is not None:
             attempt.end(result)
 
@@ -193,6 +212,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.closed = True
+        self.parser = None  # hazard: they hold each other, and would wait for a rare full collection
         self.pool.remove(self)
         if self.attempt is not None:
             # all that was written may have run; what was not written whole has not
@@ -206,72 +226,100 @@
 
 
 class Pool:
-    """Connections to all upstreams. The most recently used one is used again first."""
+    """Connections to all upstreams. Hazards: it goes by upstream, not by address, as an upstream may come to
+    the address of one that has gone; and the one that has been idle for longest is used first, as an end, or
+    more than its answer, may still be on the way on one that has just had its answer."""
 
-    def __init__(self, idle_us: int, dial_timeout_us: int) -> None:
+    def __init__(self, idle_us: int, dial_timeout_us: int, most: int) -> None:
         self.loop = asyncio.get_running_loop()
         self.keep_us = max(0, idle_us - IDLE_MARGIN_US)
         self.dial_timeout_us = dial_timeout_us
-        self.idle: dict[Address, list[Connection]] = {}
+        self.most = most  # connections
+        self.connections: dict[int, set[Connection]] = {}  # all there are, also those coming up
+        self.idle: dict[int, list[Connection]] = {}
         self.dials: set[asyncio.Task[None]] = set()
         self.sweeper = self.loop.call_later(1.0, self.sweep)
 
-    def start(self, address: Address, call: Call, timeout_us: int,
+    def start(self, upstream: int, address: Address, call: Call, timeout_us: int,
               ended: Callable[[Result], None]) -> Attempt:
-        data = request_head(call, address, timeout_us) + call.body
-        attempt = Attempt(self, address, data, ended)
+        attempt = Attempt(request_head(call, address, timeout_us) + call.body, ended)
         oldest_us = clock_us() - self.keep_us
-        idle = self.idle.get(address, [])
-        while idle:
-            connection = idle[-1]
+        while idle := self.idle.get(upstream):
+            connection = idle[0]
             if connection.idle_since_us > oldest_us and connection.usable():
-                idle.pop()
+                self.take(connection)
                 connection.send(attempt)
                 return attempt
             connection.close()
-        task = self.loop.create_task(self.dial(address, attempt))
+        task = self.loop.create_task(self.dial(upstream, address, attempt))
         self.dials.add(task)
         task.add_done_callback(self.dials.discard)
         return attempt
 
-    async def dial(self, address: Address, attempt: Attempt) -> None:
-        sock: socket.socket | None = None
+    async def dial(self, upstream: int, address: Address, attempt: Attempt) -> None:
+        if attempt.given_up:  # hazard: before this task's first step; it would be sent after the answer
+            return
         connection: Connection | None = None
         try:
+            self.make_room()
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            connection = Connection(self, upstream, sock)
+            connection.attempt = attempt
+            attempt.connection = connection
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self.dial_timeout_us / 1e6 or None):
-                sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-                sock.setblocking(False)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                connection = Connection(self, address, sock)
-                connection.attempt = attempt
-                attempt.connection = connection
                 await self.loop.sock_connect(sock, address)
             made = connection
             await self.loop.create_connection(lambda: made, sock=sock)
-        except OSError:  # refused, unreachable, no descriptor left, or not up in time
-            if sock is not None:
-                sock.close()
-            waiting = connection.attempt if connection is not None else attempt
-            if waiting is not None and not waiting.written:
-                if connection is not None:
-                    connection.attempt = None
-                waiting.end(Result(Outcome.CONNECT_FAILED))
+        except Exception as error:
+            # refused, unreachable, no descriptor left, not up in time; or no address at all
+            if not isinstance(error, OSError):
+                log.warning("no connection to upstream %d: %r", upstream, error)
+            if connection is not None:
+                connection.attempt = None
+                connection.sock.close()
+                self.remove(connection)
+            if not attempt.given_up and not attempt.written:
+                attempt.end(Result(Outcome.CONNECT_FAILED))
+
+    def make_room(self) -> None:
+        """Hazard: silent upstreams, a connection for each attempt, would use up the descriptors."""
+        if sum(map(len, self.connections.values())) < self.most:
+            return
+        idle = [connection for group in self.idle.values() for connection in group]
+        if not idle:
+            raise OSError("too many connections to upstreams")
+        min(idle, key=lambda connection: connection.idle_since_us).close()
 
     def put_idle(self, connection: Connection) -> None:
         connection.idle_since_us = clock_us()
-        self.idle.setdefault(connection.address, []).append(connection)
+        self.idle.setdefault(connection.upstream, []).append(connection)
 
-    def remove(self, connection: Connection) -> None:
-        idle = self.idle.get(connection.address)
-        if idle is not None and connection in idle:
+    def take(self, connection: Connection) -> None:
+        """It is idle no longer."""
+        idle = self.idle.get(connection.upstream, [])
+        if connection in idle:
             idle.remove(connection)
             if not idle:
-                del self.idle[connection.address]
+                del self.idle[connection.upstream]
 
-    def close_idle(self, address: Address) -> None:
-        for connection in self.idle.get(address, [])[:]:
+    def remove(self, connection: Connection) -> None:
+        self.take(connection)
+        group = self.connections.get(connection.upstream, set())
+        group.discard(connection)
+        if not group:
+            self.connections.pop(connection.upstream, None)
+
+    def close_idle(self, upstream: int) -> None:
+        for connection in self.idle.get(upstream, [])[:]:
             connection.close()
 
+    def forget(self, upstream: int) -> None:
+        self.close_idle(upstream)
+        for connection in self.connections.get(upstream, set()):
+            connection.forgotten = True
+
     def sweep(self) -> None:
         """Close what upstreams are about to close."""
         self.sweeper = self.loop.call_later(0.1, self.sweep)
