In a crowd the first answer is a connection's last; mistrust connections idle for as long as others that broke

Ruled out: accepting (silent ones were ended after 1.3 s), CPU (0.46 at most), slots (7 out of 40). Now the share of breaks is kept by age, and ages that break are passed over until the share has faded.

--- a/plovertrail/server.py
+++ b/plovertrail/server.py
@@ -161,6 +161,7 @@
         self.extra = False  # bytes came while a request was open
         self.last = False  # the connection closes with the next answer
         self.discarded = 0
+        self.answered = 0
         self.reset()
 
     def reset(self) -> None:
@@ -287,7 +288,10 @@
         assert self.transport is not None
         if self.transport.is_closing():
             return
-        last = last or self.last or self.server.stopping
+        # hazard: clients have a bound of their own; those who ask once and stay keep the others from asking
+        only_one = self.state is State.OPEN and self.answered == 0 and self.server.crowded()
+        last = last or self.last or self.server.stopping or only_one
+        self.answered += 1
         if last:
             head += b"Connection: close\r\n"
         data = b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n" % (status, REASONS[status], head, len(body))
@@ -352,6 +356,10 @@
     def count(self) -> int:
         return sum(len(group) for group in self.clients.values())
 
+    def crowded(self) -> bool:
+        """Whether so many connections are open that new ones had better not stay."""
+        return self.count() > self.most_clients // 2
+
     def listen(self, address: tuple[str, int]) -> None:
         self.sock = socket.create_server(address, backlog=1024)
         self.sock.setblocking(False)
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams.py
@@ -18,6 +18,9 @@
 LONGEST_ANSWER = 256 * 1024  # with its head, what comes ahead of it, and its framing
 LONGEST_HEAD = 32 * 1024
 IDLE_MARGIN_US = 300_000  # an upstream may close a connection while a request is on its way to it
+BREAKS_MEMORY = 16  # uses of connections that were idle for about as long
+MOST_BREAKS = 0.15  # share of them that may break: a request lost costs about ten new connections
+BREAKS_FADE = 0.99  # for each one passed over, so that they are tried again
 Address = tuple[str, int]
 
 
@@ -67,6 +70,7 @@
         self.attempt: Attempt | None = None
         self.parser: httptools.HttpResponseParser | None = None
         self.idle_since_us = 0
+        self.idle_us = 0  # for how long it was idle before the request that it carries
         self.closed = False
         self.unsent = False  # part of what was written is still with us
         self.complete = False  # the answer is whole
@@ -194,6 +198,8 @@
 
     def finish(self, outcome: Outcome) -> None:
         attempt, self.attempt = self.attempt, None
+        if self.idle_us > 0:
+            self.pool.learn(self.idle_us, broke=outcome is Outcome.RESET and self.received == 0)
         result = Result(outcome)
         if outcome is Outcome.OK:
             result = Result(outcome, bytes(self.body), self.content_type)
@@ -233,6 +239,8 @@
     def __init__(self, idle_us: int, dial_timeout_us: int, most: int) -> None:
         self.loop = asyncio.get_running_loop()
         self.keep_us = max(0, idle_us - IDLE_MARGIN_US)
+        # share of connections that broke at their next request, by log2 of their idle time
+        self.breaks = [0.0] * 64
         self.dial_timeout_us = dial_timeout_us
         self.most = most  # connections
         self.connections: dict[int, set[Connection]] = {}  # all there are, also those coming up
@@ -243,11 +251,13 @@
     def start(self, upstream: int, address: Address, call: Call, timeout_us: int,
               ended: Callable[[Result], None]) -> Attempt:
         attempt = Attempt(request_head(call, address, timeout_us) + call.body, ended)
-        oldest_us = clock_us() - self.keep_us
+        now_us = clock_us()
         while idle := self.idle.get(upstream):
             connection = idle[0]
-            if connection.idle_since_us > oldest_us and connection.usable():
+            idle_us = now_us - connection.idle_since_us
+            if idle_us < self.keep_us and self.trusted(idle_us) and connection.usable():
                 self.take(connection)
+                connection.idle_us = idle_us
                 connection.send(attempt)
                 return attempt
             connection.close()
@@ -292,6 +302,20 @@
             raise OSError("too many connections to upstreams")
         min(idle, key=lambda connection: connection.idle_since_us).close()
 
+    def trusted(self, idle_us: int) -> bool:
+        """Hazard: what lies between may drop idle connections sooner than the settings say, without a word.
+        Each costs a request; so those idle for as long as others that broke are not used."""
+        age = idle_us.bit_length()
+        if self.breaks[age] > MOST_BREAKS:
+            self.breaks[age] *= BREAKS_FADE
+            return False
+        return True
+
+    def learn(self, idle_us: int, broke: bool) -> None:
+        """How a connection fared that had been idle for so long."""
+        age = idle_us.bit_length()
+        self.breaks[age] += (float(broke) - self.breaks[age]) / BREAKS_MEMORY
+
     def put_idle(self, connection: Connection) -> None:
         connection.idle_since_us = clock_us()
         self.idle.setdefault(connection.upstream, []).append(connection)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -262,6 +263,45 @@
     run(test)
 
 
+def test_connections_idle_for_as_long_as_others_that_broke_are_not_used() -> None:
+    async def test() -> None:
+        pool = Pool(60_000_000, 10_000_000, most=10)
+        for _ in range(30):
+            assert pool.trusted(200_000) and pool.trusted(20_000)
+            pool.learn(200_000, broke=False)
+            pool.learn(20_000, broke=False)
+        for _ in range(3):
+            pool.learn(200_000, broke=True)
+        assert not pool.trusted(210_000) and pool.trusted(20_000) and pool.trusted(2_000_000)
+        await until(lambda: pool.trusted(200_000))  # they are tried again in time
+        pool.sweeper.cancel()
+
+    async def over_sockets() -> None:
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            writer.write(OK)
+            await read_message(reader)  # whatever comes next on it breaks it
+            writer.transport.abort()
+            raise ConnectionResetError
+
+        def ended(count: int) -> bool:
+            return len(results) == count
+
+        upstream, results = Upstream(script), list[Result]()
+        await upstream.start()
+        pool = Pool(60_000_000, 10_000_000, most=10)
+        call = Call(b"POST", b"/pay", [], b"", 0, 0, 1)
+        for number in range(80):
+            pool.start(1, ("127.0.0.1", upstream.port), call, 0, results.append)
+            await until(partial(ended, number + 1))
+        assert 0 < [result.outcome for result in results].count(Outcome.RESET) < 30  # else each second one
+        upstream.stop()
+        pool.sweeper.cancel()
+
+    run(test)
+    run(over_sockets)
+
+
 @pytest.mark.parametrize("first", [
     b"\x01noise\r\n\r\n",
     b"HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
@@ -487,6 +527,22 @@
     run(test)
 
 
+def test_in_a_crowd_the_first_answer_on_a_connection_is_its_last() -> None:
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:  # 200 descriptors
+            first = await it.connect()
+            first[1].write(request())
+            assert b"Connection: close" not in (await read_message(first[0]))[0]
+            silent_ones = [await it.connect() for _ in range(60)]
+            assert b"Connection: close" in (await it.ask(request()))[0]
+            first[1].write(request())  # one that is in use stays
+            assert b"Connection: close" not in (await read_message(first[0]))[0]
+            for _, writer in (first, *silent_ones):
+                writer.close()
+
+    run(test)
+
+
 def test_the_connection_used_last_stays_when_room_is_made() -> None:
     async def test() -> None:
         async with sidecar(Upstream(answering(OK))) as it:  # 200 descriptors
