--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -27,6 +27,9 @@
 A_SECOND_EACH = 1.5  # sends a second that call for one more: fewer teach nothing, more crowd it
 SLOWEST_PACE = 4.0  # an answer that takes longer beside the usual one counts as this
 PACE_MEMORY = 4  # answers that make up an upstream's pace
+OVERTAKEN = 3  # later sends answered before it tell an attempt that is lost from one that waits its turn
+LOSS_MEMORY = 16  # attempts that make up an upstream's share of lost ones
+LOSS_BORNE = 0.05  # at this share an upstream is drawn a quarter as often: far more than is lost by chance
 ADMIT_GAIN = 2.4  # a second of slow answers cuts what is admitted to a tenth; slower, queues fill first
 LEAST_ADMITTED = 0.1  # hazard: where service itself has slowed, letting in less mends nothing
 RATE_MEMORY_US = 5_000_000
@@ -56,6 +59,8 @@
         self.entry = entry
         self.pool = pool
         self.used = 0  # slots taken by this sidecar's sends
+        self.out: list[Attempt] = []  # its attempts that have not ended, in the order of their sends
+        self.losses = 0.0  # share of its attempts that were given up for lost, smoothed
         self.window = 1.0  # slots open while it is well; below 1 the one slot rests between sends
         self.rest_until_us = 0
         self.next_cold = 0.0  # while it is cold, it waits till this sidecar has seen so many served
@@ -66,10 +71,13 @@
 
 
 class Attempt:
-    def __init__(self, server: Server, now_us: int) -> None:
+    def __init__(self, server: Server, class_index: int, now_us: int) -> None:
         self.server = server
         self.entry = server.entry  # as it was listed then
+        self.class_index = class_index
         self.sent_us = now_us
+        self.overtaken = 0  # answers of its upstream to what was sent later
+        self.lost = False  # it holds no slot any more
         self.ended: api.Outcome | None = None  # None while it is out
 
 
@@ -105,7 +113,7 @@
         self.unsent = 0.0  # share of arrivals that found no free slot, the old ones fading
         self.overloaded = False  # as last logged: from a fifth unsent until one in fifty
         self.next_log_us = now_us
-        self.wakeups: list[tuple[int, str, int]] = []  # (when, what, request); a heap
+        self.wakeups: list[tuple[int, str, int, int]] = []  # (when, what, request, attempt); a heap
         self.armed_us = self.list_failures = 0  # armed: the next timer already asked for; 0 = none
         self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
         self.ask_list_at(now_us)
@@ -323,7 +331,7 @@
         for server in servers:
             slots = self.open_slots(server) - server.used
             if slots > 0 and self.in_group(request, server):
-                found.append((server, slots / server.pace ** 2))
+                found.append((server, slots / (server.pace * (1.0 + server.losses / LOSS_BORNE)) ** 2))
         return [pair for pair in found if pair[0] not in tried] or found
 
     def may_send(self, request: Request) -> bool:
@@ -359,13 +367,40 @@
         if server not in pool.in_use:
             pool.in_use.append(server)
         self.retries = min(MOST_RETRIES, self.retries + (RETRY_SHARE if not request.attempts else -1.0))
-        request.attempts.append(Attempt(server, self.now_us))
+        attempt = Attempt(server, request.event.class_index, self.now_us)
+        request.attempts.append(attempt)
+        server.out.append(attempt)
+        lost_us = self.now_us + self.lost_after_us(attempt.class_index)
+        self.wake(lost_us, "lost", request.event.request, len(request.attempts) - 1)
         self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request)))
         if self.settings.second_copies and self.class_of(request).effect != "at_most_once":
             index = request.event.class_index  # soon enough to be back in time, late enough to be seldom
             after_us = min(int(2 * self.mean_us[index]), self.half_aim_us(index))
             self.wake(self.now_us + after_us, "copy", request.event.request)
 
+    def lost_after_us(self, class_index: int) -> int:
+        """Hardly an answer takes longer: it would be late, or the upstream is slow to all."""
+        return max(self.half_aim_us(class_index), int(4 * self.mean_us[class_index]))
+
+    def give_up_slot(self, attempt: Attempt) -> None:
+        """Frees the slot of an attempt that is lost: out for too long while its upstream answers what was
+        sent later. Hazard: an upstream, or what lies before it, that never answers a few requests (dropped,
+        stuck on a lock, bound for a dead shard) is well for the others; but each of the few would hold a slot
+        to its deadline, many usual answer times, till all slots are held and all else is refused. The attempt
+        itself stays out, as its answer may still be of use. A slow or silent upstream, or fleet, answers
+        nothing out of turn and frees nothing. It could do harm where an upstream serves by priority or shares
+        out its time, and really has in work what was overtaken: it then gets up to twice the slots."""
+        server = attempt.server
+        held_up = len(server.out) - server.used
+        if (attempt.ended is not None or attempt.lost or attempt.overtaken < OVERTAKEN
+                or self.settings.classes[attempt.class_index].stream
+                or self.now_us - attempt.sent_us < self.lost_after_us(attempt.class_index)
+                or held_up >= max(1, int(server.window))):
+            return
+        attempt.lost = True
+        server.used -= 1
+        server.losses += (1.0 - server.losses) / LOSS_MEMORY
+
     def timeout_us(self, request: Request) -> int:
         """As long as an answer is of use; where a repeat may follow, what the class usually takes."""
         left_us = max(1, self.useful_until_us(request) - self.now_us)
@@ -388,10 +423,20 @@
             return
         attempt = attempts[0]
         attempt.ended = event.outcome
-        attempt.server.used -= 1
-        self.judge(attempt, event.elapsed_us, request.event.class_index)
-        attempt.server.pool.served += float(event.outcome in ANSWERED)
-        if event.outcome in (*ANSWERED, api.Outcome.TIMEOUT):
+        server = attempt.server
+        server.used -= int(not attempt.lost)
+        earlier = server.out[:server.out.index(attempt)]
+        server.out.remove(attempt)
+        silent = attempt.lost and event.outcome is api.Outcome.TIMEOUT
+        if not silent:  # its slot is judged already, and its time is that of no answer
+            self.judge(attempt, event.elapsed_us, request.event.class_index)
+        if event.outcome in ANSWERED:
+            server.pool.served += 1.0
+            server.losses -= server.losses / LOSS_MEMORY
+            for other in earlier:
+                other.overtaken += 1
+                self.give_up_slot(other)
+        if event.outcome in (*ANSWERED, api.Outcome.TIMEOUT) and not silent:
             # time-outs count too: else a slow fleet would go on being judged by its few quick answers
             index, mean_us = request.event.class_index, self.mean_us[request.event.class_index]
             self.mean_us[index] = max(1.0, mean_us + (event.elapsed_us - mean_us) / 8)
@@ -444,8 +489,8 @@
             self.actions.append(api.Subscribe(True))
             self.ask_list_at(self.now_us + max(FIRST_RETRY_US, self.settings.ask_within_us // 2))
 
-    def wake(self, at_us: int, what: str, ident: int) -> None:
-        heapq.heappush(self.wakeups, (max(at_us, self.now_us + 1), what, ident))
+    def wake(self, at_us: int, what: str, ident: int, attempt: int = 0) -> None:
+        heapq.heappush(self.wakeups, (max(at_us, self.now_us + 1), what, ident, attempt))
 
     def arm(self) -> None:
         times = [self.wakeups[0][0]] if self.wakeups else []
@@ -457,10 +502,12 @@
 
     def run_due(self) -> None:
         while self.wakeups and self.wakeups[0][0] <= self.now_us:
-            _, what, ident = heapq.heappop(self.wakeups)
+            _, what, ident, number = heapq.heappop(self.wakeups)
             if what == "list":
                 self.ask_list()
             elif what == "copy" and ident in self.requests:
                 self.send_copy(self.requests[ident])
+            elif what == "lost" and ident in self.requests:
+                self.give_up_slot(self.requests[ident].attempts[number])
             elif what == "buffer" and self.buffer is not None and self.buffer.event.request == ident:
                 self.finish(self.buffer)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from glenkeel.balance import Balancer
+from glenkeel.balance import MOST_SLOTS, Balancer
 from glenkeel.interface import AttemptEnded, Event, Outcome, RequestClass
 from plovertrail import server
 from plovertrail.host import Call, Result
@@ -750,3 +750,47 @@
         second.stop()
 
     run(test)
+
+
+# Upstreams that leave some requests without an answer
+
+
+QUICK = [RequestClass(name, aim_us=200_000, deadline_us=600_000_000, late_worth=0.5, effect="at_most_once")
+         for name in ("pay", "order")]
+
+
+def test_requests_that_are_never_answered_don_t_keep_the_slots_of_an_upstream_that_answers_others() -> None:
+    async def test() -> None:
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            if upstream.requests[number][1] == b"lost":
+                await silent(upstream, number, reader, writer)
+            await asyncio.sleep(0.02)  # so that requests meet, and slots are opened
+            writer.write(OK)
+
+        upstream = Upstream(script)
+
+        def lost() -> int:
+            return sum(1 for _, body in upstream.requests if body == b"lost")
+
+        async with sidecar(upstream, classes=QUICK) as it, asyncio.timeout(PATIENCE_S):
+            while {status(answer) for answer in await asyncio.gather(
+                    *(it.ask(request("pay", body=b"b")) for _ in range(6)))} != {200}:
+                pass
+            held = []
+            while (before := lost()) <= MOST_SLOTS:  # until there is one more than there are slots
+                reader, writer = await it.connect()
+                writer.write(request("pay", body=b"lost", deadline_ms=600_000))
+                answer = asyncio.create_task(read_message(reader))
+                while not answer.done() and lost() == before:
+                    await asyncio.sleep(0.005)
+                held.append((answer, writer))
+                for _ in range(3):
+                    await it.ask(request("pay", body=b"b"))
+            while status(await it.ask(request("pay", body=b"b"))) != 200:
+                pass
+            for answer, writer in held:
+                answer.cancel()
+                writer.close()
+
+    run(test)
