--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -27,9 +27,12 @@
 A_SECOND_EACH = 1.5  # sends a second that call for one more: fewer teach nothing, more crowd it
 SLOWEST_PACE = 4.0  # an answer that takes longer beside the usual one counts as this
 PACE_MEMORY = 4  # answers that make up an upstream's pace
-OVERTAKEN = 3  # later sends answered before it tell an attempt that is lost from one that waits its turn
-LOSS_MEMORY = 16  # attempts that make up an upstream's share of lost ones
-LOSS_BORNE = 0.05  # at this share an upstream is drawn a quarter as often: far more than is lost by chance
+OVERTAKEN = 4  # later sends answered before it tell an attempt that is lost from one that waits its turn
+SILENCE_MEMORY = 16  # attempts of a class that make up the share of them that an upstream leaves unanswered
+SILENCE_BORNE = 0.1  # at this share it is drawn a quarter as often: far more than is late by chance
+MUTE = 3  # attempts of a class unanswered in a row from which on it rests there between sends
+LONGEST_MUTE = 5  # as if so many
+MOST_MUTE = 2 / 3  # hazard: with more upstreams than this resting the fleet is slow, and none rests
 ADMIT_GAIN = 2.4  # a second of slow answers cuts what is admitted to a tenth; slower, queues fill first
 LEAST_ADMITTED = 0.1  # hazard: where service itself has slowed, letting in less mends nothing
 RATE_MEMORY_US = 5_000_000
@@ -55,12 +58,16 @@
 class Server:
     """What this sidecar knows of one upstream."""
 
-    def __init__(self, entry: api.Upstream, pool: Pool) -> None:
+    def __init__(self, entry: api.Upstream, pool: Pool, classes: int) -> None:
         self.entry = entry
         self.pool = pool
         self.used = 0  # slots taken by this sidecar's sends
         self.out: list[Attempt] = []  # its attempts that have not ended, in the order of their sends
-        self.losses = 0.0  # share of its attempts that were given up for lost, smoothed
+        # by class, as an upstream may be well for all but some: the share of attempts that had no answer in
+        # time, smoothed; how many of late in a row; and till when the class rests there
+        self.silence = [0.0] * classes
+        self.mute = [0] * classes
+        self.mute_until_us = [0] * classes
         self.window = 1.0  # slots open while it is well; below 1 the one slot rests between sends
         self.rest_until_us = 0
         self.next_cold = 0.0  # while it is cold, it waits till this sidecar has seen so many served
@@ -77,7 +84,9 @@
         self.class_index = class_index
         self.sent_us = now_us
         self.overtaken = 0  # answers of its upstream to what was sent later
-        self.lost = False  # it holds no slot any more
+        self.passed = False  # one of these was to its own class
+        self.silent = False  # it has had no answer for longer than one takes
+        self.lost = False  # and holds no slot any more
         self.ended: api.Outcome | None = None  # None while it is out
 
 
@@ -313,25 +322,32 @@
     def draw(self, request: Request) -> Server | None:
         """A random free slot, at one of the few upstreams that this sidecar's traffic needs, else at any; a
         busy zone spills over only what it can't take: a request thinned or without a slot there."""
+        index = request.event.class_index
+        resting = sum(1 for s in self.servers.values() if self.now_us < s.mute_until_us[index])
+        some_rest = resting <= MOST_MUTE * len(self.servers)
         for pool in self.pools if self.may_send(request) else []:
             if pool.credit >= 1.0:
-                best = self.free_slots(request, pool.in_use)
+                best = self.free_slots(request, pool.in_use, some_rest)
                 if not best or len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH):
                     # hazard: each sidecar connected to each upstream fills their tables of connections
                     others = [s for s in self.servers.values() if s.pool is pool and s not in pool.in_use]
-                    best = self.free_slots(request, others) or best
+                    best = self.free_slots(request, others, some_rest) or best
                 if best:
                     return self.random.choices(best, [share for _, share in best])[0][0]
         return None
 
-    def free_slots(self, request: Request, servers: list[Server]) -> list[tuple[Server, float]]:
+    def free_slots(self, request: Request, servers: list[Server],
+                   some_rest: bool) -> list[tuple[Server, float]]:
         """The upstreams with a slot free for it, each with its slots, which count less where it is slow."""
         tried = [attempt.server for attempt in request.attempts]
+        index = request.event.class_index
         found = []
         for server in servers:
             slots = self.open_slots(server) - server.used
-            if slots > 0 and self.in_group(request, server):
-                found.append((server, slots / (server.pace * (1.0 + server.losses / LOSS_BORNE)) ** 2))
+            rests = self.now_us < server.mute_until_us[index] and some_rest
+            if slots > 0 and not rests and self.in_group(request, server):
+                share = slots / (server.pace * (1.0 + server.silence[index] / SILENCE_BORNE)) ** 2
+                found.append((server, share))
         return [pair for pair in found if pair[0] not in tried] or found
 
     def may_send(self, request: Request) -> bool:
@@ -370,36 +386,53 @@
         attempt = Attempt(server, request.event.class_index, self.now_us)
         request.attempts.append(attempt)
         server.out.append(attempt)
-        lost_us = self.now_us + self.lost_after_us(attempt.class_index)
-        self.wake(lost_us, "lost", request.event.request, len(request.attempts) - 1)
+        silent_us = self.now_us + self.silent_after_us(attempt.class_index)
+        self.wake(silent_us, "silence", request.event.request, len(request.attempts) - 1)
         self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request)))
         if self.settings.second_copies and self.class_of(request).effect != "at_most_once":
             index = request.event.class_index  # soon enough to be back in time, late enough to be seldom
             after_us = min(int(2 * self.mean_us[index]), self.half_aim_us(index))
             self.wake(self.now_us + after_us, "copy", request.event.request)
 
-    def lost_after_us(self, class_index: int) -> int:
-        """Hardly an answer takes longer: it would be late, or the upstream is slow to all."""
-        return max(self.half_aim_us(class_index), int(4 * self.mean_us[class_index]))
+    def silent_after_us(self, class_index: int) -> int:
+        """Few answers take longer than the aim, unless the upstream is slow to all. Hazard: sooner, what
+        an overload makes slow would be taken for lost."""
+        return self.settings.classes[class_index].aim_us
+
+    def on_silence(self, attempt: Attempt) -> None:
+        """It has had no answer for longer than one takes. Hazard: an upstream, or what lies before it, may
+        never answer a part of the requests (dropped, stuck on a lock, bound for a dead shard) or all of a
+        class and be well for the others: one that may not be repeated is lost there, and the time-out tells
+        of it only after many usual answer times. So the upstream is drawn less for that class, and only now
+        and then once it left some in a row unanswered; this holds for one that says nothing at all, too. It
+        could do harm where a class is slow by nature and seldom: its late answers then send it elsewhere."""
+        server, index = attempt.server, attempt.class_index
+        if attempt.ended is not None or self.settings.classes[index].stream:
+            return
+        attempt.silent = True
+        server.silence[index] += (1.0 - server.silence[index]) / SILENCE_MEMORY
+        if not attempt.passed:
+            server.mute[index] = min(server.mute[index] + 1, LONGEST_MUTE)
+            if server.mute[index] >= MUTE:
+                usual_us = self.silent_after_us(index) * (0.5 + self.random.random())
+                server.mute_until_us[index] = self.now_us + int(usual_us * 2 ** (server.mute[index] - 1))
+        self.give_up_slot(attempt)
 
     def give_up_slot(self, attempt: Attempt) -> None:
-        """Frees the slot of an attempt that is lost: out for too long while its upstream answers what was
-        sent later. Hazard: an upstream, or what lies before it, that never answers a few requests (dropped,
-        stuck on a lock, bound for a dead shard) is well for the others; but each of the few would hold a slot
-        to its deadline, many usual answer times, till all slots are held and all else is refused. The attempt
-        itself stays out, as its answer may still be of use. A slow or silent upstream, or fleet, answers
-        nothing out of turn and frees nothing. It could do harm where an upstream serves by priority or shares
-        out its time, and really has in work what was overtaken: it then gets up to twice the slots."""
+        """Frees the slot of an attempt that is lost: silent for too long, while its upstream answers what was
+        sent later. Hazard: each of the few that are never answered would hold a slot to its deadline, many
+        usual answer times, till all slots are held and all else is refused. The attempt itself stays out, as
+        its answer may still be of use. Nothing can overtake what holds the only slot: so each upstream may
+        have one lost on suspicion while others answer fast. A slow or silent one, or fleet, frees no more.
+        It could do harm where an upstream serves by priority or shares out its time, and really has in work
+        what was overtaken: it then gets up to twice the slots."""
         server = attempt.server
-        held_up = len(server.out) - server.used
-        if (attempt.ended is not None or attempt.lost or attempt.overtaken < OVERTAKEN
-                or self.settings.classes[attempt.class_index].stream
-                or self.now_us - attempt.sent_us < self.lost_after_us(attempt.class_index)
-                or held_up >= max(1, int(server.window))):
-            return
-        attempt.lost = True
-        server.used -= 1
-        server.losses += (1.0 - server.losses) / LOSS_MEMORY
+        proven = attempt.overtaken >= OVERTAKEN
+        lost = [other for other in server.out if other.lost]
+        suspected = server.pool.load < 0.5 and all(other.overtaken >= OVERTAKEN for other in lost)
+        if attempt.silent and (proven or suspected) and len(lost) < max(1, int(server.window)):
+            attempt.lost = True
+            server.used -= 1
 
     def timeout_us(self, request: Request) -> int:
         """As long as an answer is of use; where a repeat may follow, what the class usually takes."""
@@ -427,19 +460,24 @@
         server.used -= int(not attempt.lost)
         earlier = server.out[:server.out.index(attempt)]
         server.out.remove(attempt)
-        silent = attempt.lost and event.outcome is api.Outcome.TIMEOUT
-        if not silent:  # its slot is judged already, and its time is that of no answer
+        lost = attempt.lost and event.outcome is api.Outcome.TIMEOUT
+        if not lost:  # hazard: what is lost tells nothing of the load, and its time is that of no answer
             self.judge(attempt, event.elapsed_us, request.event.class_index)
         if event.outcome in ANSWERED:
             server.pool.served += 1.0
-            server.losses -= server.losses / LOSS_MEMORY
+            index = attempt.class_index
+            server.silence[index] -= server.silence[index] / SILENCE_MEMORY
+            server.mute[index] = server.mute_until_us[index] = 0
             for other in earlier:
                 other.overtaken += 1
-                self.give_up_slot(other)
-        if event.outcome in (*ANSWERED, api.Outcome.TIMEOUT) and not silent:
+                other.passed |= other.class_index == index
+                if not other.lost:
+                    self.give_up_slot(other)
+        if event.outcome in (*ANSWERED, api.Outcome.TIMEOUT) and not lost:
             # time-outs count too: else a slow fleet would go on being judged by its few quick answers
             index, mean_us = request.event.class_index, self.mean_us[request.event.class_index]
-            self.mean_us[index] = max(1.0, mean_us + (event.elapsed_us - mean_us) / 8)
+            elapsed_us = min(event.elapsed_us, 2 * self.half_aim_us(index))
+            self.mean_us[index] = max(1.0, mean_us + (elapsed_us - mean_us) / 8)
         if event.final or request.done:
             self.close(request)
         elif request.out() == 0:
@@ -467,7 +505,8 @@
                 self.servers.pop(entry.id, None)  # rule 3: forgotten the moment we are told
                 continue
             away = self.settings.cross_zone_fee > 0 and entry.zone != self.settings.zone
-            server = self.servers.setdefault(entry.id, Server(entry, self.pools[int(away)]))
+            pool = self.pools[int(away)]
+            server = self.servers.setdefault(entry.id, Server(entry, pool, len(self.mean_us)))
             server.slow_start |= event.kind is api.ListKind.CACHED
             if server.entry.started_us != entry.started_us or server.next_cold == 0:
                 restarted.append(server)
@@ -495,7 +534,9 @@
     def arm(self) -> None:
         times = [self.wakeups[0][0]] if self.wakeups else []
         if self.buffer is not None:  # a resting slot opens by time, not by an event
-            times.extend([s.rest_until_us for s in self.servers.values() if s.rest_until_us > self.now_us])
+            index = self.buffer.event.class_index
+            rests = [max(s.rest_until_us, s.mute_until_us[index]) for s in self.servers.values()]
+            times.extend([until_us for until_us in rests if until_us > self.now_us])
         if times and (self.armed_us == 0 or min(times) < self.armed_us):
             self.armed_us = min(times)
             self.actions.append(api.SetTimer(self.armed_us, 0))
@@ -507,7 +548,7 @@
                 self.ask_list()
             elif what == "copy" and ident in self.requests:
                 self.send_copy(self.requests[ident])
-            elif what == "lost" and ident in self.requests:
-                self.give_up_slot(self.requests[ident].attempts[number])
+            elif what == "silence" and ident in self.requests:
+                self.on_silence(self.requests[ident].attempts[number])
             elif what == "buffer" and self.buffer is not None and self.buffer.event.request == ident:
                 self.finish(self.buffer)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -794,3 +794,23 @@
                 writer.close()
 
     run(test)
+
+
+def test_a_request_that_is_never_answered_does_not_keep_the_only_slot_of_an_upstream() -> None:
+    async def test() -> None:
+        async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                         writer: asyncio.StreamWriter) -> None:
+            if number == 0:
+                await silent(upstream, number, reader, writer)
+            writer.write(OK)
+
+        upstream = Upstream(script)
+        async with sidecar(upstream, classes=QUICK) as it, asyncio.timeout(PATIENCE_S):
+            _, writer = await it.connect()
+            writer.write(request("pay", deadline_ms=600_000))
+            await until(lambda: len(upstream.requests) == 1)
+            while status(await it.ask(request("pay"))) != 200:
+                await asyncio.sleep(0.01)
+            writer.close()
+
+    run(test)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from glenkeel.interface import (
@@ -14,7 +16,7 @@
     Upstream,
     UpstreamState,
 )
-from tests.world import World, settings, upstreams
+from tests.world import World, classes, settings, upstreams
 
 READ, PAY, MARK = 0, 1, 2
 
@@ -533,3 +535,39 @@
         return count
 
     assert refused(ListKind.CACHED) < refused(ListKind.FULL) * 0.8
+
+
+def test_a_class_that_an_upstream_never_answers_is_seldom_sent_there_and_the_others_are() -> None:
+    kinds = classes()
+    kinds[PAY] = replace(kinds[PAY], late_worth=0.5)  # so that it is waited for to its deadline
+    world = ready_world(classes=kinds)
+    deaf = min(world.known)
+
+    def sent_to_deaf(class_index: int) -> int:
+        request = world.arrive(class_index)
+        sends = world.sends(request)
+        world.advance(20_000)
+        if sends and (sends[0].upstream != deaf or class_index != PAY):
+            world.end(request, 0, Outcome.OK)
+        return sum(1 for send in sends if send.upstream == deaf)
+
+    assert 3 <= sum(sent_to_deaf(PAY) for _ in range(1000)) <= 15
+    assert sum(sent_to_deaf(READ) for _ in range(40)) > 0
+
+
+def test_an_upstream_slow_to_all_frees_no_more_than_one_slot() -> None:
+    world = ready_world(1, second_copies=False)
+    for _ in range(40):  # requests that meet open slots
+        both = [world.arrive(READ), world.arrive(READ)]
+        world.advance(10_000)
+        for request in both:
+            if world.sends(request) and world.answer(request) is None:
+                world.end(request, 0, Outcome.OK)
+    slots = len(fill(world)) - 1
+    kind = world.settings.classes[READ]
+    world.advance(kind.aim_us - 1)
+    assert len(fill(world)) == 1
+    sent = len(world.sends())
+    world.advance(1)
+    fill(world)
+    assert slots > 2 and len(world.sends()) - sent <= 1
