--- a/glenkeel/balance.py
+++ b/glenkeel/balance.py
@@ -429,7 +429,7 @@
         server = attempt.server
         proven = attempt.overtaken >= OVERTAKEN
         lost = [other for other in server.out if other.lost]
-        suspected = server.pool.load < 0.5 and all(other.overtaken >= OVERTAKEN for other in lost)
+        suspected = server.pool.load < FULL_LOAD and all(other.overtaken >= OVERTAKEN for other in lost)
         if attempt.silent and (proven or suspected) and len(lost) < max(1, int(server.window)):
             attempt.lost = True
             server.used -= 1
@@ -460,8 +460,10 @@
         server.used -= int(not attempt.lost)
         earlier = server.out[:server.out.index(attempt)]
         server.out.remove(attempt)
-        lost = attempt.lost and event.outcome is api.Outcome.TIMEOUT
-        if not lost:  # hazard: what is lost tells nothing of the load, and its time is that of no answer
+        # hazard: what others overtook tells nothing of the load; judged by it, an upstream that leaves some
+        # unanswered would be cut to one slot, and its time would be that of no answer
+        lost = (attempt.lost or attempt.overtaken > 0) and event.outcome is api.Outcome.TIMEOUT
+        if not lost:
             self.judge(attempt, event.elapsed_us, request.event.class_index)
         if event.outcome in ANSWERED:
             server.pool.served += 1.0
