--- a/glenkeel/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""glenkeel: the decisions of a sidecar balancer for service-to-service calls."""
--- a/plovertrail/__init__.py
+++ b/plovertrail/__init__.py
@@ -1,1 +1,1 @@
-"""plovertrail: a sidecar balancer on real sockets; its decisions are made in glenkeel."""
+"""plovertrail: a balancer that keeps its rules when things break."""
--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -9,17 +9,17 @@
 import sys
 import time
 
-from glenkeel.wire import WireError
-from plovertrail import config
-from plovertrail.discovery import Directory, Discovery
+from plovertrail.config import platform as config
+from plovertrail.config.settings import SettingsError
+from plovertrail.fronts.application import Server
 from plovertrail.host import Host
-from plovertrail.server import Server
-from plovertrail.upstreams import Pool
+from plovertrail.sources.discovery import Directory, Discovery
+from plovertrail.upstreams.connections import Pool
 
 log = logging.getLogger(__name__)
 
 LINES_A_SECOND = 5
-UNREADABLE = (OSError, KeyError, TypeError, ValueError, WireError)
+UNREADABLE = (OSError, KeyError, TypeError, ValueError, SettingsError)
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
 LONGEST_STOP_S = 3.6  # SIGKILL comes 0.7 s after the longest deadline, of 3 s, at the soonest
 
--- /dev/null
+++ b/plovertrail/config/__init__.py
@@ -0,0 +1,1 @@
+"""What operators and the platform configure: read, checked, explained."""
--- a/plovertrail/config.py
+++ b/plovertrail/config/platform.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from glenkeel import wire
-from glenkeel.interface import Settings
+from plovertrail.config.settings import settings_from_pairs
+from plovertrail.decisions.interface import Settings
 
 
 @dataclass(slots=True)
@@ -52,7 +52,7 @@
 
 
 def load(path: str) -> Config:
-    """Read and check the file; raises ValueError, KeyError or wire.WireError on what is malformed."""
+    """Read and check the file; raises ValueError, KeyError or settings.SettingsError on what is malformed."""
     with open(path, encoding="utf-8") as file:
         raw = json.load(file)
     settings = raw["settings"]
@@ -62,7 +62,7 @@
         discovery=parse_address(raw["discovery"]),
         seed=int(raw["seed"], 16),
         sockets=int(raw["limits"]["sockets"]),
-        settings=wire.settings_from_pairs(pairs),
+        settings=settings_from_pairs(pairs),
         zones=list(settings["areas"]),
         kinds=list(settings["kinds"]),
         idle_us=int(float(pairs["bounds.conn-idle"])),
--- a/glenkeel/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -1,4 +1,4 @@
-"""All decisions of the balancer. Its interface, types, events and actions: glenkeel/interface.py.
+"""All decisions on requests. Its settings, events and actions: plovertrail/decisions/interface.py.
 
 Everything is slots (docs/design.md): a request takes a free slot of a random upstream, waits in the ONE
 buffer when none is free, is refused when that is taken, and is reissued through a slot.
@@ -8,7 +8,7 @@
 import math
 import random
 
-from glenkeel import interface as api
+from plovertrail.decisions import interface as api
 
 MOST_SLOTS = 8  # no upstream gets more from one sidecar, however quick its answers
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
--- /dev/null
+++ b/plovertrail/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Listeners and the connections of clients."""
--- a/plovertrail/server.py
+++ b/plovertrail/fronts/application.py
@@ -11,8 +11,10 @@
 
 import httptools
 
-from glenkeel.interface import Settings
-from plovertrail.host import Answer, Call, Host, Verdict, clock_us
+from plovertrail.clock import clock_us
+from plovertrail.decisions.interface import Settings
+from plovertrail.exchange import Answer, Call, Verdict
+from plovertrail.host import Host
 
 log = logging.getLogger(__name__)
 
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -7,16 +7,15 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
-from glenkeel import interface as api
-from glenkeel.balance import Balancer
+from plovertrail.clock import clock_us
+from plovertrail.decisions import interface as api
+from plovertrail.decisions.balance import Balancer
+from plovertrail.exchange import Answer, Call, Flight, Result, Upstreams, Verdict
 
 log = logging.getLogger(__name__)
 
@@ -24,81 +23,6 @@
 BACKSTOP_US = 5_000  # the host's own deadline comes so long after the module's
 
 
-def clock_us() -> int:
-    """The module's clock."""
-    return time.monotonic_ns() // 1000
-
-
-@dataclass(slots=True)
-class Call:
-    """A request of the application, as it was read."""
-
-    method: bytes
-    target: bytes
-    headers: list[tuple[bytes, bytes]]  # those that go on to the upstream
-    body: bytes
-    arrived_us: int
-    deadline_us: int  # counted from its arrival
-    class_index: int
-    ident: bytes = b""  # X-Request-Id
-    tenant: int = 0
-    key: int = 0
-    cost_us: int = 0
-    retried: bool = False
-
-
-class Verdict(enum.Enum):
-    """What the application is told."""
-
-    SERVED = "served"
-    REFUSED = "refused"
-    FAILED = "failed"
-
-
-@dataclass(slots=True)
-class Answer:
-    """The one final answer to a request."""
-
-    verdict: Verdict
-    body: bytes = b""
-    content_type: bytes = b""
-    retry_after_us: int = 0
-
-
-@dataclass(slots=True)
-class Result:
-    """How an attempt ended, as the upstream's side saw it."""
-
-    outcome: api.Outcome
-    body: bytes = b""
-    content_type: bytes = b""
-
-
-class Flight(Protocol):
-    """An attempt that is out."""
-
-    @property
-    def written(self) -> bool:
-        """Whether any of it has been written."""
-
-    def give_up(self) -> None:
-        """Stop waiting: nothing more is written, and a connection that has carried it is closed."""
-
-
-class Upstreams(Protocol):
-    """The side of the upstreams."""
-
-    def start(self, upstream: int, address: tuple[str, int], call: Call, timeout_us: int,
-              ended: Callable[[Result], None]) -> Flight:
-        """Begin an attempt. `ended` is called once, later, unless the attempt is given up first."""
-
-    def close_idle(self, upstream: int) -> None:
-        """Close the idle connections to an upstream."""
-
-    def forget(self, upstream: int) -> None:
-        """Close those connections, and the busy ones once they are done."""
-
-
 @dataclass(slots=True)
 class Attempt:
     upstream: int
--- /dev/null
+++ b/plovertrail/sources/__init__.py
@@ -0,0 +1,1 @@
+"""Where lists of servers come from."""
--- a/plovertrail/discovery.py
+++ b/plovertrail/sources/discovery.py
@@ -12,9 +12,9 @@
 
 import httptools
 
-from glenkeel.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
-from plovertrail.config import parse_address
-from plovertrail.host import clock_us
+from plovertrail.clock import clock_us
+from plovertrail.config.platform import parse_address
+from plovertrail.decisions.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/plovertrail/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to servers, and the attempts that they carry."""
--- a/plovertrail/upstreams.py
+++ b/plovertrail/upstreams/connections.py
@@ -9,8 +9,9 @@
 
 import httptools
 
-from glenkeel.interface import Outcome
-from plovertrail.host import Call, Result, clock_us
+from plovertrail.clock import clock_us
+from plovertrail.decisions.interface import Outcome
+from plovertrail.exchange import Call, Result
 
 log = logging.getLogger(__name__)
 
--- a/glenkeel/adapter.py
+++ b/simulator/adapter.py
@@ -5,9 +5,9 @@
 import sys
 from typing import BinaryIO
 
-from glenkeel import wire
-from glenkeel.balance import Balancer
-from glenkeel.interface import RequestArrived
+from plovertrail.decisions.balance import Balancer
+from plovertrail.decisions.interface import RequestArrived
+from simulator import wire
 
 
 def read_exactly(source: BinaryIO, size: int) -> bytes:
@@ -77,10 +77,10 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"glenkeel: {error}", file=sys.stderr)
+        print(f"plovertrail: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
-        print("glenkeel: the reader of our replies is gone", file=sys.stderr)
+        print("plovertrail: the reader of our replies is gone", file=sys.stderr)
         return 3
     return 0
 
--- a/glenkeel/wire.py
+++ b/simulator/wire.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from glenkeel import interface as api
+from plovertrail.config.settings import SettingsError, settings_from_pairs
+from plovertrail.decisions import interface as api
 
 HEADER = struct.Struct("<IIQ")
 REPLY_HEADER = struct.Struct("<II")
@@ -34,9 +35,6 @@
 }
 _STATES = {0: api.UpstreamState.GONE, 1: api.UpstreamState.READY, 2: api.UpstreamState.DRAINING}
 _LIST_KINDS = {0: api.ListKind.DELTA, 1: api.ListKind.FULL, 2: api.ListKind.CACHED, 3: api.ListKind.FAILED}
-# Load report values: the wire's names and ours; a name not known here is kept as it is.
-_REPORT_NAMES = {"rif": "in_flight", "q": "queued", "busy": "utilization", "lat_ms": "latency_ms",
-                 "rate": "served_per_s", "fail_rate": "errors_per_s"}
 _U32_MAX = 0xFFFFFFFF
 V = TypeVar("V")
 
@@ -232,64 +230,6 @@
     return REPLY_HEADER.pack(len(body), len(records)) + body
 
 
-class _Options:
-    """The start-up settings' path=value pairs, read with checks."""
-
-    def __init__(self, pairs: dict[str, str]) -> None:
-        self.pairs = pairs
-
-    def text(self, path: str, default: str | None = None) -> str:
-        value = self.pairs.get(path, default)
-        if value is None:
-            raise WireError(f"setting {path} is missing")
-        return value
-
-    def number(self, path: str, default: str | None = None) -> float:
-        value = self.text(path, default)
-        try:
-            number = float(value)
-        except ValueError:
-            number = math.nan
-        if not math.isfinite(number):
-            raise WireError(f"setting {path}: expected a number, got {value!r}")
-        return number
-
-    def whole(self, path: str, default: str | None = None) -> int:
-        number = self.number(path, default)
-        if number != int(number):
-            raise WireError(f"setting {path}: expected a whole number, got {self.text(path, default)!r}")
-        return int(number)
-
-    def choice(self, path: str, choices: tuple[str, ...], default: str | None = None) -> str:
-        value = self.text(path, default)
-        if value not in choices:
-            raise WireError(f"setting {path}: expected one of {', '.join(choices)}, got {value!r}")
-        return value
-
-    def flag(self, path: str, default: str | None = None) -> bool:
-        return self.choice(path, ("true", "false"), default) == "true"
-
-
-def _class(options: _Options, at: str) -> api.RequestClass:
-    return api.RequestClass(
-        name=options.text(at + "name"),
-        aim_us=options.whole(at + "aim"),
-        deadline_us=options.whole(at + "deadline"),
-        worth=options.number(at + "worth"),
-        late_worth=options.number(at + "late-worth", "0"),
-        aim_stretch=options.number(at + "aim-stretch", "0"),
-        effect=options.choice(at + "effect", api.EFFECTS),
-        group=options.choice(at + "group", api.GROUPS, "all"),
-        memory_us=options.whole(at + "memory-span", "0"),
-        stream=options.flag(at + "stream", "false"),
-    )
-
-
-def _tenant(options: _Options, at: str) -> api.Tenant:
-    return api.Tenant(options.text(at + "name"), options.number(at + "allowance-per-s"),
-                      options.number(at + "share", "0"))
-
-
 def parse_settings(text: str) -> api.Settings:
     """The settings of one instance; keys that are not known are skipped."""
     pairs: dict[str, str] = {}
@@ -300,39 +240,7 @@
         if not equals or not path:
             raise WireError(f"settings line {number}: expected path=value, got {line!r}")
         pairs[path] = value
-    return settings_from_pairs(pairs)
-
-
-def settings_from_pairs(pairs: dict[str, str]) -> api.Settings:
-    """The settings from their paths and values; keys that are not known are skipped."""
-    o = _Options(pairs)
     try:
-        return api.Settings(
-            classes=[_class(o, f"request-classes.{i}.") for i in range(o.whole("request-classes.count"))],
-            tenants=[_tenant(o, f"accounts.{i}.") for i in range(o.whole("accounts.count", "0"))],
-            over_share_worth=o.number("over-share-worth", "1"),
-            worth_by_work=o.choice("value-by", ("request", "work"), "request") == "work",
-            instances=o.whole("instances"),
-            self_index=o.whole("self-index", "0"),
-            zone=o.whole("locality", "0"),
-            tick_us=o.whole("granularity"),
-            max_attempts=o.whole("bounds.most-tries"),
-            max_retry_after_us=o.whole("bounds.max-retry-after", "0"),
-            connect_timeout_us=o.whole("bounds.dial-timeout", "0"),
-            retry_after=o.flag("bounds.retry-after"),
-            cancel=o.flag("bounds.cancel"),
-            probes=o.flag("bounds.probes"),
-            second_copies=o.flag("bounds.second-copies"),
-            list_on_request=o.choice("registry-mode", ("pushed", "on_request")) == "on_request",
-            ask_within_us=o.whole("invariants.ask-within", "0"),
-            cold_share=o.number("invariants.cold-share"),
-            warm_up_us=o.whole("invariants.warm-up"),
-            overload_factor=o.number("invariants.overload-factor"),
-            fall_us=o.whole("invariants.fall"),
-            cross_zone_fee=o.number("fees.cross-zone", "0"),
-            report_names=[_REPORT_NAMES.get(name, name)
-                          for name in o.text("report.names", "").split(",") if name],
-            weighted=o.text("weights", "none") != "none",
-        )
-    except ValueError as error:
-        raise WireError(f"settings: {error}") from error
+        return settings_from_pairs(pairs)
+    except SettingsError as error:
+        raise WireError(str(error)) from error
--- a/tests/test_calm.py
+++ b/tests/decisions/test_calm.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from glenkeel.balance import Balancer
-from glenkeel.interface import (
+from plovertrail.decisions.balance import Balancer
+from plovertrail.decisions.interface import (
     AttemptEnded,
     Fail,
     Outcome,
@@ -19,8 +19,8 @@
     TimerFired,
     UpstreamsUpdated,
 )
-from glenkeel.interface import ListKind as Kind
-from tests.world import START_US, World, settings, upstreams
+from plovertrail.decisions.interface import ListKind as Kind
+from tests.decisions.world import START_US, World, settings, upstreams
 
 
 def test_events_about_what_is_unknown_change_nothing() -> None:
--- a/tests/test_list.py
+++ b/tests/decisions/test_list.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from glenkeel.interface import (
+from plovertrail.decisions.interface import (
     ListKind,
     Outcome,
     SetTimer,
@@ -11,7 +11,7 @@
     UpstreamState,
     UpstreamsUpdated,
 )
-from tests.world import START_US, World, settings, upstreams
+from tests.decisions.world import START_US, World, settings, upstreams
 
 
 def asking_world() -> World:
--- a/tests/test_rules.py
+++ b/tests/decisions/test_rules.py
@@ -8,8 +8,8 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from glenkeel.balance import Balancer
-from glenkeel.interface import (
+from plovertrail.decisions.balance import Balancer
+from plovertrail.decisions.interface import (
     AttemptEnded,
     ListKind,
     Outcome,
@@ -21,7 +21,7 @@
     UpstreamState,
     UpstreamsUpdated,
 )
-from tests.world import START_US, World, classes, settings, upstreams
+from tests.decisions.world import START_US, World, classes, settings, upstreams
 
 FAULTS = [o for o in Outcome if o is not Outcome.TIMEOUT]
 
--- a/tests/test_slots.py
+++ b/tests/decisions/test_slots.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from glenkeel.interface import (
+from plovertrail.decisions.interface import (
     Fail,
     ListKind,
     Log,
@@ -16,7 +16,7 @@
     Upstream,
     UpstreamState,
 )
-from tests.world import World, classes, settings, upstreams
+from tests.decisions.world import World, classes, settings, upstreams
 
 READ, PAY, MARK = 0, 1, 2
 
--- a/tests/world.py
+++ b/tests/decisions/world.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from glenkeel.balance import Balancer
-from glenkeel.interface import (
+from plovertrail.decisions.balance import Balancer
+from plovertrail.decisions.interface import (
     Action,
     AttemptEnded,
     Cancel,
--- a/tests/test_wire.py
+++ b/tests/simulator/test_wire.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from glenkeel import adapter, wire
-from glenkeel import interface as api
-from glenkeel.balance import Balancer
-from tests.options import OPTIONS
+from plovertrail.decisions import interface as api
+from plovertrail.decisions.balance import Balancer
+from simulator import adapter, wire
+from tests.simulator.options import OPTIONS
 
 LIST = ("6e 00000000 02000000 074a1203 00 00 0000 01 0000803f 0000000000000000"
         " f211902c 01 00 0000 01 0000c03f 20145d0000000000")
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.test_wire import EMPTY, LIST, batch, power_on
+from tests.simulator.test_wire import EMPTY, LIST, batch, power_on
 
 ROOT = Path(__file__).resolve().parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
@@ -43,7 +43,7 @@
 def test_the_deployed_command_ends_on_a_bad_frame_with_one_line(sim: str) -> None:
     done = start(sim, bytes.fromhex(EMPTY) + b"\x01\x00")
     assert done.returncode != 0 and done.stdout == bytes(8)
-    assert done.stderr.decode().splitlines() == ["glenkeel: batch 1: truncated header: 2 of 16 bytes"]
+    assert done.stderr.decode().splitlines() == ["plovertrail: batch 1: truncated header: 2 of 16 bytes"]
 
 
 def test_the_decision_module_keeps_its_limits() -> None:
@@ -52,7 +52,7 @@
         lines += (ROOT / name).read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 1200
     assert max(map(len, lines)) <= 110
-    assert "glenkeel/interface.py" in lines[0]
+    assert "plovertrail/decisions/interface.py" in lines[0]
 
 
 def test_figures_stand_in_named_constants_or_are_plain_fractions() -> None:
@@ -71,10 +71,11 @@
 
 
 def test_the_package_needs_the_standard_library_only() -> None:
-    code = "import sys, glenkeel.adapter; print(*sorted({m.split('.')[0] for m in sys.modules}))"
+    code = "import sys, simulator.adapter; print(*sorted({m.split('.')[0] for m in sys.modules}))"
     found = subprocess.run([sys.executable, "-S", "-c", code], cwd=ROOT, capture_output=True, text=True,
                            check=True, timeout=60).stdout.split()
-    assert set(found) - set(sys.stdlib_module_names) <= {"glenkeel", "__main__", "sitecustomize"}
+    own = {"plovertrail", "simulator", "__main__", "sitecustomize"}
+    assert set(found) - set(sys.stdlib_module_names) <= own
 
 
 def test_the_readme_example_runs_as_written() -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -18,7 +18,7 @@
 
 import pytest
 
-from plovertrail.config import Config, flatten, load
+from plovertrail.config.platform import Config, flatten, load
 from tests.net import OK, PATIENCE_S, Upstream, configuration, entry, listing, read_message, request
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -40,7 +40,7 @@
 
 def test_the_build_compiles_the_sources(tmp_path: Path) -> None:
     with program(configuration(tmp_path)):  # which builds first
-        for source in (*(ROOT / "plovertrail").glob("*.py"), *(ROOT / "glenkeel").glob("*.py")):
+        for source in (*(ROOT / "plovertrail").rglob("*.py"), *(ROOT / "simulator").glob("*.py")):
             assert Path(cache_from_source(source)).exists()
 
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -12,11 +12,11 @@
 
 import pytest
 
-from glenkeel.balance import MOST_SLOTS, Balancer
-from glenkeel.interface import AttemptEnded, Event, Outcome, RequestClass
-from plovertrail import server
-from plovertrail.host import Call, Result
-from plovertrail.upstreams import Attempt, Connection, Pool
+from plovertrail.decisions.balance import MOST_SLOTS, Balancer
+from plovertrail.decisions.interface import AttemptEnded, Event, Outcome, RequestClass
+from plovertrail.exchange import Call, Result
+from plovertrail.fronts import application as server
+from plovertrail.upstreams.connections import Attempt, Connection, Pool
 from tests.net import (
     NOT_RUN,
     OK,
