--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -8,13 +8,14 @@
 import signal
 import sys
 import time
+from functools import partial
 
 from plovertrail.config import platform as config
 from plovertrail.config.settings import SettingsError
 from plovertrail.fronts.application import Server
 from plovertrail.host import Host
 from plovertrail.sources.discovery import Directory, Discovery
-from plovertrail.upstreams.connections import Pool
+from plovertrail.upstreams.connections import ConnectionPool
 
 log = logging.getLogger(__name__)
 
@@ -55,16 +56,18 @@
 async def serve(settings: config.Config, stop: asyncio.Event, reload: asyncio.Event) -> None:
     """Serve until told to stop, then answer what comes and what is open."""
     loop = asyncio.get_running_loop()
-    pool = Pool(settings.idle_us, settings.settings.connect_timeout_us, most=settings.sockets * 3 // 8)
-    host = Host(settings.settings, settings.seed, pool)
+    dial_timeout_us = settings.settings.connect_timeout_us
+    pool = ConnectionPool(settings.idle_us, dial_timeout_us, most=settings.sockets * 3 // 8)
+    host = Host()
+    servers = host.add_pool("", settings.settings, settings.seed, pool)
     directory = Directory(settings.zones, settings.kinds)
-    discovery = Discovery(settings.discovery, directory, host.list_changed)
+    discovery = Discovery(settings.discovery, directory, partial(host.list_changed, servers))
     host.subscribe = discovery.subscribe
     if settings.known:
         discovery.cached(settings.known)
-    host.start()
+    host.start(servers)
     # the rest is for discovery, the listener, the log and what is on its way to be closed
-    server = Server(host, settings.settings, most_clients=settings.sockets // 2)
+    server = Server(host, servers, settings.settings, most_clients=settings.sockets // 2)
     following = loop.create_task(follow(settings.path, reload, discovery))
     server.listen(settings.listen)
     await stop.wait()
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -55,6 +55,17 @@
         self.rated_us = now_us
 
 
+class Reissues:
+    """The budget of reissues; several pools of one program may share one."""
+
+    def __init__(self) -> None:
+        self.in_hand = MOST_RETRIES
+
+    def count(self, first: bool) -> None:
+        """A send: a first one earns a part of a reissue, a further one is a reissue."""
+        self.in_hand = min(MOST_RETRIES, self.in_hand + (RETRY_SHARE if first else -1.0))
+
+
 class Server:
     """What this sidecar knows of one upstream."""
 
@@ -100,12 +111,16 @@
     def out(self) -> int:
         return sum(1 for attempt in self.attempts if attempt.ended is None)
 
+    def attempts_made(self) -> int:
+        return self.event.earlier_attempts + len(self.attempts)
+
     def first_that_may_have_run(self) -> Attempt | None:
         return next((attempt for attempt in self.attempts if attempt.ended not in NEVER_RAN), None)
 
 
 class Balancer:
-    def __init__(self, settings: api.Settings, seed: int, now_us: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int, now_us: int,
+                 reissues: Reissues | None = None) -> None:
         self.settings = settings
         self.random = random.Random(seed)
         self.now_us = now_us
@@ -115,7 +130,7 @@
         self.buffer: Request | None = None
         self.mean_us = [c.aim_us / 4 for c in settings.classes]  # of each class's answers; at first a guess
         self.pools = [Pool(now_us), Pool(now_us)]  # drawn from in this order; the second may stay empty
-        self.retries = MOST_RETRIES  # reissues in hand
+        self.reissues = reissues or Reissues()
         self.short_us = 0  # when a request last found no free slot
         self.allowed_per_s = max(1.0, sum(t.allowance_per_s for t in settings.tenants))
         self.tenant_seen = [0.0 for _ in settings.tenants]  # arrivals of each, the old ones fading
@@ -346,7 +361,8 @@
             slots = self.open_slots(server) - server.used
             rests = self.now_us < server.mute_until_us[index] and some_rest
             if slots > 0 and not rests and self.in_group(request, server):
-                share = slots / (server.pace * (1.0 + server.silence[index] / SILENCE_BORNE)) ** 2
+                size = server.entry.weight if self.settings.draw_by_weight else 1.0
+                share = slots * size / (server.pace * (1.0 + server.silence[index] / SILENCE_BORNE)) ** 2
                 found.append((server, share))
         return [pair for pair in found if pair[0] not in tried] or found
 
@@ -354,7 +370,7 @@
         """Rules 1 and 2 as far as they don't depend on the upstream."""
         if request.done or request.streaming or self.now_us >= request.event.due_us:
             return False
-        if len(request.attempts) >= self.settings.max_attempts:
+        if request.attempts_made() >= self.settings.max_attempts:
             return False
         if request.out() > 0 and not self.settings.second_copies:
             return False
@@ -382,7 +398,7 @@
         pool.rate, pool.rated_us = pool.rate * faded + 1_000_000 / RATE_MEMORY_US, self.now_us
         if server not in pool.in_use:
             pool.in_use.append(server)
-        self.retries = min(MOST_RETRIES, self.retries + (RETRY_SHARE if not request.attempts else -1.0))
+        self.reissues.count(first=request.attempts_made() == 0)
         attempt = Attempt(server, request.event.class_index, self.now_us)
         request.attempts.append(attempt)
         server.out.append(attempt)
@@ -437,7 +453,8 @@
     def timeout_us(self, request: Request) -> int:
         """As long as an answer is of use; where a repeat may follow, what the class usually takes."""
         left_us = max(1, self.useful_until_us(request) - self.now_us)
-        if self.settings.second_copies or self.class_of(request).effect == "at_most_once" or self.retries < 1:
+        once = self.class_of(request).effect == "at_most_once"
+        if self.settings.second_copies or once or self.reissues.in_hand < 1.0:
             return left_us
         index, known_us = request.event.class_index, request.event.cost_us
         return min(left_us, max(int(4 * self.mean_us[index]), self.half_aim_us(index), 4 * known_us))
@@ -484,7 +501,7 @@
             self.close(request)
         elif request.out() == 0:
             # hazard: when all upstreams are slow at once, time-outs double the load that keeps them slow
-            if event.outcome in REISSUED and self.may_send(request) and self.retries >= 1.0:
+            if event.outcome in REISSUED and self.may_send(request) and self.reissues.in_hand >= 1.0:
                 self.place(request)
             else:
                 self.finish(request)
--- /dev/null
+++ b/plovertrail/decisions/failover.py
@@ -0,0 +1,41 @@
+"""Which pool a request goes to next: its route's pools in order, each asked once, under one set of bounds."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from plovertrail.decisions.balance import NEVER_RAN, Reissues
+from plovertrail.decisions.interface import Outcome
+
+
+@dataclass(slots=True)
+class Standing:
+    """How far a request has come: its pools are asked in order, none twice."""
+
+    due_us: int
+    asked: int = 0  # pools passed over or asked
+    attempts: int = 0  # over all pools
+    out: int = 0  # of these have not ended
+    may_have_run: bool = False
+
+    def attempt_began(self) -> None:
+        self.attempts += 1
+        self.out += 1
+
+    def attempt_ended(self, outcome: Outcome) -> None:
+        """Rule 2: after one that may have run, no other pool."""
+        self.out -= 1
+        self.may_have_run |= outcome not in NEVER_RAN
+
+
+def next_pool(standing: Standing, serving: Sequence[bool], most_attempts: int, reissues: Reissues,
+              now_us: int) -> int | None:
+    """The number of the next pool to ask, None if the request ends here; `serving` tells which have a server.
+    Hazard: a request that goes on from pool to pool multiplies the load just when servers turn it away; so
+    attempts and reissues are counted over all pools together."""
+    if standing.may_have_run or standing.out or now_us >= standing.due_us:
+        return None
+    if standing.attempts and (standing.attempts >= most_attempts or reissues.in_hand < 1.0):
+        return None
+    return next((number for number in range(standing.asked, len(serving)) if serving[number]), None)
--- a/plovertrail/decisions/interface.py
+++ b/plovertrail/decisions/interface.py
@@ -118,6 +118,7 @@
     cross_zone_fee: float = 0.0
     report_names: list[str] = field(default_factory=list)
     weighted: bool = False  # the list's weights speak of size
+    draw_by_weight: bool = False  # free slots are drawn in proportion to the weights
 
     def __post_init__(self) -> None:
         _require(len(self.classes) > 0, "at least one request class", self.classes)
@@ -165,6 +166,7 @@
     cost_us: int = 0  # expected work on a standard core; 0 = not known
     retried: bool = False  # the client sends it again
     write: bool = False
+    earlier_attempts: int = 0  # by other pools, all known not to have run
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/plovertrail/decisions/paths.py
@@ -0,0 +1,104 @@
+"""Hosts and paths in one form, so that a rule can't be passed by writing a path in another way.
+
+Two forms of a path, with the same segments (RFC 3986, sections 6.2.2 and 5.2.4): what goes to the server has
+only its unreserved characters decoded; what rules are matched against has all other characters of a segment
+decoded too. Hazards: a server behind decodes once more or not, merges slashes or not, takes `..;` for `..` or
+not; what could then mean another path there than here is refused.
+"""
+
+from __future__ import annotations
+
+import re
+
+UNRESERVED = frozenset(b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
+IN_SEGMENTS = UNRESERVED | frozenset(b"!$&'()*+,;=:@")
+PLAIN = re.compile(r"(?:/(?!\.|/)[A-Za-z0-9\-_~][A-Za-z0-9\-._~]*)+/?|/")  # is its own normal form
+ESCAPE = re.compile(rb"%([0-9A-Fa-f]{2})")
+HOST = re.compile(r"[a-z0-9_](?:[a-z0-9_.-]*[a-z0-9_-])?|\[[0-9a-f:.]+\]")
+LONGEST_HOST = 255
+PORT = re.compile(r"(.*?)(?::([0-9]{0,5}))?", re.S)
+
+
+class BadTarget(ValueError):
+    """A target or host that can't be routed; the text says why."""
+
+
+def _plain(raw: bytes, decoded: frozenset[int]) -> str:
+    """Characters in `decoded` as they are, all others as upper-case escapes."""
+    parts: list[str] = []
+    at = 0
+    while at < len(raw):
+        byte = raw[at]
+        if byte == 0x25:
+            found = ESCAPE.match(raw, at)
+            if found is None:
+                raise BadTarget("a % that begins no escape")
+            byte, at = int(found[1], 16), at + 3
+            if byte in b"/\\":
+                raise BadTarget("an encoded slash or backslash")
+            parts.append(chr(byte) if byte in decoded else f"%{byte:02X}")
+        else:
+            at += 1
+            if byte == 0x5C:
+                raise BadTarget("a backslash")
+            # what stands plain though it may not is escaped; what may stand plain is kept
+            parts.append(chr(byte) if byte in IN_SEGMENTS or byte == 0x2F else f"%{byte:02X}")
+        if byte < 0x20 or byte == 0x7F:
+            raise BadTarget("a control character")
+    return "".join(parts)
+
+
+def _resolve(path: str) -> str:
+    """Doubled slashes merged, then dot segments removed."""
+    kept: list[str] = []
+    segments = [segment for segment in path.split("/") if segment]
+    for segment in segments:
+        if segment.startswith((".;", "..;", ".%3B", "..%3B")):
+            raise BadTarget("a dot segment with parameters")
+        if segment == "..":
+            if kept:
+                kept.pop()
+        elif segment != ".":
+            kept.append(segment)
+    closed = path.endswith("/") or (bool(segments) and segments[-1] in (".", ".."))
+    return "/" + "/".join(kept) + ("/" if closed and kept else "")
+
+
+def normalise_path(raw: bytes) -> tuple[str, str]:
+    """The path as it goes to the server, and as rules see it; raises BadTarget."""
+    if not raw.startswith(b"/"):
+        raise BadTarget("a path that does not begin with /")
+    text = raw.decode("latin-1")
+    if PLAIN.fullmatch(text):
+        return text, text
+    return _resolve(_plain(raw, UNRESERVED)), _resolve(_plain(raw, IN_SEGMENTS))
+
+
+def split_target(target: bytes) -> tuple[bytes, bytes, bytes]:
+    """Host (empty but in the absolute form, RFC 9112 section 3.2.2), path and query of a request's target."""
+    if b"#" in target:
+        raise BadTarget("a fragment")
+    host = b""
+    if not target.startswith(b"/"):
+        scheme, separator, rest = target.partition(b"://")
+        if not separator or scheme.lower() not in (b"http", b"https"):
+            raise BadTarget("neither a path nor an http URL")
+        cut = min((at for at in (rest.find(b"/"), rest.find(b"?")) if at >= 0), default=len(rest))
+        host, target = rest[:cut], rest[cut:]
+        if not host or b"@" in host:
+            raise BadTarget("a URL with no host, or with a user")
+        if not target.startswith(b"/"):
+            target = b"/" + target
+    path, _, query = target.partition(b"?")
+    return host, path, query
+
+
+def normalise_host(raw: bytes) -> str:
+    """Lower case, with no port and no dot at its end; raises BadTarget on what is no host."""
+    text = raw.decode("latin-1").strip(" \t").lower()
+    found = PORT.fullmatch(text)
+    host = found[1] if found is not None else text
+    host = host.removesuffix(".")
+    if len(host) > LONGEST_HOST or not HOST.fullmatch(host) or ".." in host:
+        raise BadTarget("a Host that is no host")
+    return host
--- /dev/null
+++ b/plovertrail/decisions/routes.py
@@ -0,0 +1,347 @@
+"""Which route a request takes: host, path and predicates, in a stated order of precedence.
+
+Of the routes that match, the first in this order wins: host (exact, the longest wildcard, any); priority (the
+highest); path (exact, regular expression, the longest prefix); a method named; more headers named; more query
+parameters named; place in the file. The order doesn't depend on the request, so the table is laid out once:
+a lookup asks a dictionary for the host, one for the whole path, one for each prefix of the path, and one
+automaton for all regular expressions of the host.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+
+import re2
+
+from plovertrail.decisions.paths import BadTarget, normalise_path
+
+SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
+AUTOMATON_BYTES = 64 << 20  # of memory for the regular expressions of one host
+
+
+class PathKind(enum.IntEnum):
+    """How a route's path is meant; the order is that of precedence."""
+
+    EXACT = 0
+    REGEX = 1  # of the whole path, as rules see it
+    PREFIX = 2  # on segment borders: /buy takes /buy and /buy/it, not /buyer
+
+
+class TenantSource(enum.Enum):
+    """Where a request's tenant is read."""
+
+    NONE = "none"
+    HEADER = "header"
+    HOST = "host"
+    ADDRESS = "address"
+
+
+@dataclass(frozen=True, slots=True)
+class Predicate:
+    """Of a header or query parameter: it is there and, unless `value` is None, has this value."""
+
+    name: str  # of a header: in lower case
+    value: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One rule, and what becomes of the requests that it takes."""
+
+    name: str
+    pools: tuple[str, ...]  # asked in this order
+    class_name: str
+    hosts: tuple[str, ...] = ()  # empty: any; `*.a.example` takes all names below a.example
+    kind: PathKind = PathKind.PREFIX
+    path: str = "/"
+    methods: frozenset[str] = frozenset()  # empty: any
+    headers: tuple[Predicate, ...] = ()
+    query: tuple[Predicate, ...] = ()
+    priority: int = 0
+    deadline_us: int = 0  # 0 = the class's
+    rewrite: str | None = None  # of the prefix, of the whole path, or a replacement with \1 for the regex
+    set_headers: tuple[tuple[bytes, bytes], ...] = ()
+    remove_headers: frozenset[bytes] = frozenset()  # in lower case
+    tenant_from: TenantSource = TenantSource.NONE
+    tenant_header: bytes = b""
+
+    def rank(self, place: int) -> tuple[int, ...]:
+        """Its place among the routes of one host: the smallest goes first."""
+        long = -self.path.rstrip("/").count("/") if self.kind is PathKind.PREFIX else 0
+        named = (not self.methods, -len(self.headers), -len(self.query))
+        return (-self.priority, self.kind, long, *named, place)
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """What routes look at."""
+
+    method: str
+    host: str  # normalised; empty if the request names none
+    path: str  # as rules see it
+    query: bytes
+    headers: Mapping[bytes, bytes]  # names in lower case, values of one name joined by ", "
+
+
+class Miss(enum.Enum):
+    """Why a route does not take a request."""
+
+    HOST = "another host"
+    PATH = "another path"
+    METHOD = "another method"
+    HEADER = "a header is missing or other"
+    QUERY = "a query parameter is missing or other"
+    OUTRANKED = "matches, but another route goes first"
+
+
+@dataclass(slots=True)
+class Match:
+    """What a lookup found: a route, or the methods that would have been taken."""
+
+    route: Route | None
+    allowed: frozenset[str] = frozenset()
+
+
+def parameters(query: bytes) -> dict[str, list[str]]:
+    """The parameters of a query, undecoded."""
+    found: dict[str, list[str]] = {}
+    for part in query.decode("latin-1").split("&"):
+        name, _, value = part.partition("=")
+        found.setdefault(name, []).append(value)
+    return found
+
+
+def covers_path(prefix: str, path: str) -> bool:
+    """Whether a path lies under a prefix, on a segment border."""
+    prefix = prefix.rstrip("/")
+    return path.startswith(prefix) and path[len(prefix):len(prefix) + 1] in ("", "/")
+
+
+def prefixes(path: str) -> Iterator[str]:
+    """All prefixes on segment borders, without a slash at their end, the longest first."""
+    path = path.rstrip("/")
+    while path:
+        yield path
+        path = path[:path.rfind("/")]
+    yield ""
+
+
+def predicate_miss(route: Route, head: Head) -> Miss | None:
+    """The first of a route's predicates that the request doesn't meet."""
+    if route.methods and head.method not in route.methods:
+        return Miss.METHOD
+    for wanted in route.headers:
+        value = head.headers.get(wanted.name.encode("latin-1"))
+        if value is None or (wanted.value is not None and value.decode("latin-1") != wanted.value):
+            return Miss.HEADER
+    if route.query:
+        given = parameters(head.query)
+        for wanted in route.query:
+            values = given.get(wanted.name)
+            if values is None or (wanted.value is not None and wanted.value not in values):
+                return Miss.QUERY
+    return None
+
+
+@dataclass(slots=True)
+class Ranked:
+    """A route and its place among those of its host."""
+
+    rank: tuple[int, ...]
+    route: Route
+
+
+@dataclass(slots=True)
+class HostRoutes:
+    """The routes of one host, laid out for lookup."""
+
+    exact: dict[str, list[Ranked]] = field(default_factory=dict)
+    prefix: dict[str, list[Ranked]] = field(default_factory=dict)
+    regex: list[Ranked] = field(default_factory=list)
+    automaton: re2.Set | None = None
+
+    def add(self, entry: Ranked) -> None:
+        if entry.route.kind is PathKind.EXACT:
+            self.exact.setdefault(entry.route.path, []).append(entry)
+        elif entry.route.kind is PathKind.PREFIX:
+            self.prefix.setdefault(entry.route.path.rstrip("/"), []).append(entry)
+        else:
+            self.regex.append(entry)
+
+    def close(self) -> None:
+        """All routes have been added."""
+        if self.regex:
+            options = re2.Options()
+            options.max_mem = AUTOMATON_BYTES
+            options.log_errors = False
+            automaton = re2.Set.FullMatchSet(options)
+            for entry in self.regex:
+                automaton.Add(entry.route.path)
+            automaton.Compile()
+            self.automaton = automaton
+
+    def by_path(self, path: str) -> list[Ranked]:
+        """The routes whose path takes this one, in their order."""
+        found = list(self.exact.get(path, ()))
+        if self.automaton is not None:
+            found += [self.regex[number] for number in self.automaton.Match(path)]
+        if self.prefix:
+            for prefix in prefixes(path):
+                found += self.prefix.get(prefix, ())
+        if len(found) > 1:
+            found.sort(key=lambda entry: entry.rank)
+        return found
+
+
+class RouteTable:
+    """All routes. An immutable value: a change makes a new one. Paths and hosts must be normalised, regular
+    expressions valid (config/operator.py sees to both)."""
+
+    def __init__(self, routes: Sequence[Route]) -> None:
+        self.routes = tuple(routes)
+        self._hosts: dict[str, HostRoutes] = {}
+        for place, route in enumerate(self.routes):
+            for host in route.hosts or ("",):
+                self._hosts.setdefault(host, HostRoutes()).add(Ranked(route.rank(place), route))
+        for group in self._hosts.values():
+            group.close()
+
+    def _groups(self, host: str) -> Iterator[HostRoutes]:
+        """Those that take a host, the closest first."""
+        if host:
+            if host in self._hosts:
+                yield self._hosts[host]
+            below = host
+            while "." in below and not below.startswith("["):
+                below = below.partition(".")[2]
+                if "*." + below in self._hosts:
+                    yield self._hosts["*." + below]
+        if "" in self._hosts:
+            yield self._hosts[""]
+
+    def lookup(self, head: Head) -> Match:
+        """The route that takes a request."""
+        allowed: set[str] = set()
+        for group in self._groups(head.host):
+            for entry in group.by_path(head.path):
+                miss = predicate_miss(entry.route, head)
+                if miss is None:
+                    return Match(entry.route)
+                if miss is Miss.METHOD:
+                    allowed |= entry.route.methods
+        return Match(None, frozenset(allowed))
+
+    def explain(self, head: Head) -> list[tuple[Route, Miss | None]]:
+        """Every route with the reason why it doesn't take a request; None for the one that does. Goes through
+        all routes one by one, so it is also the yardstick of `lookup`."""
+        told: list[tuple[Route, Miss | None]] = []
+        best: tuple[tuple[int, ...], int] | None = None
+        for place, route in enumerate(self.routes):
+            host_rank = min((host_order(host, head.host) for host in route.hosts or ("",)
+                             if takes_host(host, head.host)), default=None)
+            miss: Miss | None
+            if host_rank is None:
+                miss = Miss.HOST
+            elif not takes_path(route, head.path):
+                miss = Miss.PATH
+            else:
+                miss = predicate_miss(route, head)
+                if miss is None:
+                    rank = (host_rank, *route.rank(place))
+                    if best is None or rank < best[0]:
+                        best = rank, place
+                    miss = Miss.OUTRANKED
+            told.append((route, miss))
+        if best is not None:
+            told[best[1]] = told[best[1]][0], None
+        return told
+
+
+def takes_host(pattern: str, host: str) -> bool:
+    """Whether a route's host takes that of a request."""
+    if pattern.startswith("*."):
+        return host.endswith(pattern[1:]) and len(host) >= len(pattern)
+    return pattern in ("", host)
+
+
+def host_order(pattern: str, host: str) -> int:
+    """Exact before the longest wildcard before any."""
+    if pattern == "":
+        return 1000
+    return 0 if pattern == host else 999 - len(pattern)
+
+
+def takes_path(route: Route, path: str) -> bool:
+    """Whether a route's path takes that of a request."""
+    if route.kind is PathKind.EXACT:
+        return route.path == path
+    if route.kind is PathKind.PREFIX:
+        return covers_path(route.path, path)
+    return re2.fullmatch(route.path, path) is not None
+
+
+def shadows(first: Route, second: Route) -> bool:
+    """Whether `first`, which goes before `second`, takes all that `second` would. Sound, not complete: of two
+    regular expressions only equal ones are told."""
+    if first.kind is PathKind.EXACT:
+        covered = second.kind is PathKind.EXACT and first.path == second.path
+    elif first.kind is PathKind.PREFIX:
+        covered = first.path == "/" or (second.kind is not PathKind.REGEX
+                                        and covers_path(first.path, second.path))
+    elif second.kind is PathKind.EXACT:
+        covered = takes_path(first, second.path)
+    else:
+        covered = second.kind is PathKind.REGEX and first.path == second.path
+    return (covered and (not first.methods or (bool(second.methods) and second.methods <= first.methods))
+            and set(first.headers) <= set(second.headers) and set(first.query) <= set(second.query))
+
+
+def unreachable(routes: Sequence[Route]) -> list[tuple[Route, Route]]:
+    """The routes that never take a request, each with one that always goes first."""
+    groups: dict[str, list[Ranked]] = {}
+    for place, route in enumerate(routes):
+        for host in route.hosts or ("",):
+            groups.setdefault(host, []).append(Ranked(route.rank(place), route))
+    shadowed: dict[str, list[tuple[Route, Route]]] = {}
+    for group in groups.values():
+        layout = HostRoutes()
+        for entry in group:
+            layout.add(entry)
+        layout.close()
+        for entry in group:
+            candidates = _candidates(layout, entry.route)
+            by = next((other.route for other in candidates
+                       if other.rank < entry.rank and shadows(other.route, entry.route)), None)
+            if by is not None:
+                shadowed.setdefault(entry.route.name, []).append((entry.route, by))
+    # one that is reached by any of its hosts is reached
+    return [found[0] for found in shadowed.values() if len(found) == max(1, len(found[0][0].hosts))]
+
+
+def _candidates(layout: HostRoutes, route: Route) -> list[Ranked]:
+    """The routes of a host that could take all of another's paths."""
+    if route.kind is PathKind.REGEX:
+        return layout.prefix.get("", []) + [entry for entry in layout.regex if entry.route.path == route.path]
+    return layout.by_path(route.path)
+
+
+def rewritten_path(route: Route, path: str) -> str:
+    """The path that goes to the server, from the normalised one of the request; raises BadTarget if the
+    route's replacement makes none. Prefixes are counted in segments, as the two forms of a path may differ in
+    length."""
+    if route.rewrite is None:
+        return path
+    if route.kind is PathKind.EXACT:
+        changed = route.rewrite
+    elif route.kind is PathKind.PREFIX:
+        depth = route.path.rstrip("/").count("/")
+        rest = path.split("/")[1 + depth:]
+        changed = "/".join([route.rewrite.rstrip("/"), *rest]) if rest else route.rewrite
+    else:
+        as_seen = normalise_path(path.encode("latin-1"))[1]
+        changed = re2.sub(f"^(?:{route.path})$", route.rewrite, as_seen)
+    if not changed.startswith("/"):
+        raise BadTarget("rewritten to no path")
+    return normalise_path(changed.encode("latin-1"))[0]
--- a/plovertrail/exchange.py
+++ b/plovertrail/exchange.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from plovertrail.decisions import interface as api
@@ -26,6 +26,7 @@
     key: int = 0
     cost_us: int = 0
     retried: bool = False
+    host: bytes = b""  # for the upstream; empty: its address
 
 
 class Verdict(enum.Enum):
@@ -41,9 +42,8 @@
     """The one final answer to a request."""
 
     verdict: Verdict
-    body: bytes = b""
-    content_type: bytes = b""
     retry_after_us: int = 0
+    result: Result | None = None  # of the last attempt, if there was one
 
 
 @dataclass(slots=True)
@@ -51,8 +51,9 @@
     """How an attempt ended, as the upstream's side saw it."""
 
     outcome: api.Outcome
+    status: int = 0  # 0 = no whole answer came
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     body: bytes = b""
-    content_type: bytes = b""
 
 
 class Flight(Protocol):
--- a/plovertrail/fronts/application.py
+++ b/plovertrail/fronts/application.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import enum
 import logging
 import re
 import socket
@@ -14,21 +12,13 @@
 from plovertrail.clock import clock_us
 from plovertrail.decisions.interface import Settings
 from plovertrail.exchange import Answer, Call, Verdict
-from plovertrail.host import Host
+from plovertrail.fronts.connections import ClientConnection, Listener, State
+from plovertrail.host import Host, ServerPool
 
 log = logging.getLogger(__name__)
 
 LONGEST_BODY = 64 * 1024
 LONGEST_HEAD = 16 * 1024
-LONGEST_READ_S = 2.4  # to connect and send a whole request, and to send each later one;
-LONGEST_SLOW_S = 6.0  # or so long, as long as its bytes keep coming
-LONGEST_PAUSE_S = 0.8
-LONGEST_IDLE_S = 60.0
-LONGEST_LINGER_S = 1.0  # how long a connection that is to end stays for its client to read what it was told
-MOST_DISCARDED = 64 * 1024  # of what still comes on such a connection; the rest is not even read
-SWEEP_S = 0.1
-ACCEPTS_A_TURN = 16  # hazard: hundreds of connections at once would keep what is open waiting
-NO_ROOM_S = 0.05
 MOST_DIGITS = 9
 OWN_HEADERS = frozenset((  # of this connection, or written anew for each attempt
     b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
@@ -129,41 +119,15 @@
         return True
 
 
-class State(enum.Enum):
-    """Of a connection of the application."""
-
-    FRESH = enum.auto()  # no whole request has come yet
-    IDLE = enum.auto()  # between requests
-    READING = enum.auto()  # part of a further request has come
-    OPEN = enum.auto()  # a request has been taken and not answered
-    ENDING = enum.auto()  # it has its last answer
-
-
-LONGEST_S = {State.FRESH: LONGEST_READ_S, State.IDLE: LONGEST_IDLE_S, State.READING: LONGEST_READ_S,
-             State.ENDING: LONGEST_LINGER_S}  # an open request has its own deadline
-
-
-# who makes room: (state, for how long it has been in it, whether half a request may have come)
-LEAST_USE = ((State.ENDING, 0.0, True), (State.FRESH, 0.25, False), (State.IDLE, 2.0, True),
-             (State.FRESH, 0.0, False), (State.IDLE, 0.0, True), (State.FRESH, 0.0, True),
-             (State.READING, 0.0, True))
-
-
-class Client(asyncio.Protocol):
-    """One connection of the application; it carries one request at a time."""
+class Client(ClientConnection):
+    """One connection of the application."""
 
     def __init__(self, server: Server, sock: socket.socket) -> None:
+        super().__init__(server, sock)
         self.server = server
-        self.sock = sock
-        self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
-        self.state = State.FRESH
-        self.since = time.monotonic()  # when that state began
-        self.ident = 0  # the host's name for the open request
         self.extra = False  # bytes came while a request was open
         self.last = False  # the connection closes with the next answer
-        self.discarded = 0
-        self.answered = 0
         self.reset()
 
     def reset(self) -> None:
@@ -175,17 +139,8 @@
         self.heard = 0.0  # when the last bytes of the message being read came
         self.body = bytearray()
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-        if self.state is State.ENDING:  # closed to make room while it came up
-            transport.abort()
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self.server.remove(self)
+    def release(self) -> None:
         self.parser = None  # hazard: they hold each other, and would wait for a rare full collection
-        if self.state is State.OPEN:
-            self.server.host.gone(self.ident)
 
     # A request, as the parser reads it
 
@@ -221,9 +176,7 @@
     def data_received(self, data: bytes) -> None:
         if self.state in (State.ENDING, State.OPEN):
             self.extra = True  # pipelined: the open request is answered, then the connection ends
-            self.discarded += len(data)
-            if self.discarded > MOST_DISCARDED and self.transport is not None:
-                self.transport.pause_reading()  # hazard: to read it all, only to drop it, takes the CPU
+            self.discard(data)
             return
         if self.state is State.IDLE:
             self.server.move(self, State.READING)
@@ -272,27 +225,29 @@
         if self.transport.get_write_buffer_size() > 0:
             raise Reject(400, "the last answer was not read")  # hazard: unread answers would fill the memory
         self.server.move(self, State.OPEN)
-        self.ident = self.server.host.arrived(call, self.answer)
+        self.ident = self.server.host.arrived(call, self.answer, self.server.pools)
 
     def answer(self, answer: Answer) -> None:
         if self.state is not State.OPEN:
             return
         if answer.verdict is Verdict.SERVED:
-            head = b"Content-Type: %s\r\n" % answer.content_type if answer.content_type else b""
-            self.write(200, answer.body, head)
+            assert answer.result is not None
+            types = [value for name, value in answer.result.headers if name.lower() == b"content-type"]
+            self.write(200, answer.result.body, b"Content-Type: %s\r\n" % types[-1] if types else b"")
         elif answer.verdict is Verdict.REFUSED:
             after = b"Retry-After: %.3f\r\n" % (answer.retry_after_us / 1e6) if answer.retry_after_us else b""
             self.write(503, b"", after)
         else:
             self.write(500, b"")
 
+    def refuse(self, status: int) -> None:
+        self.write(status, b"", last=True)
+
     def write(self, status: int, body: bytes, head: bytes = b"", last: bool = False) -> None:
         assert self.transport is not None
         if self.transport.is_closing():
             return
-        # hazard: clients have a bound of their own; those who ask once and stay keep the others from asking
-        only_one = self.state is State.OPEN and self.answered == 0 and self.server.crowded()
-        last = last or self.last or self.server.stopping or only_one
+        last = last or self.last or self.last_answer()
         self.answered += 1
         if last:
             head += b"Connection: close\r\n"
@@ -307,156 +262,15 @@
             self.reset()
             self.server.move(self, State.IDLE)
 
-    def end(self) -> None:
-        """Hazard: closing with bytes unread resets the connection, and the client may lose its answer."""
-        assert self.transport is not None
-        self.server.move(self, State.ENDING)
-        self.transport.write_eof()
 
-    def quiet(self) -> bool:
-        """Whether nothing has come that was not read yet."""
-        try:
-            return self.sock.recv(1, socket.MSG_PEEK) == b""
-        except OSError:  # nothing has come, or it has broken
-            return True
-
-    def close(self) -> None:
-        """End it at once; only where no request is open."""
-        self.server.move(self, State.ENDING)
-        if self.transport is not None:
-            self.transport.abort()
-
-    def overdue(self) -> None:
-        """Its state has lasted too long."""
-        if self.state in (State.FRESH, State.READING) and self.size:
-            now = time.monotonic()
-            if now > min(self.heard + LONGEST_PAUSE_S, self.since + LONGEST_SLOW_S):
-                self.write(408, b"", last=True)
-        elif self.state is State.ENDING or self.quiet():
-            self.close()
-
-
-class Server:
+class Server(Listener):
     """All connections of the application."""
 
-    def __init__(self, host: Host, settings: Settings, most_clients: int) -> None:
-        self.loop = asyncio.get_running_loop()
-        self.host = host
+    def __init__(self, host: Host, pool: ServerPool, settings: Settings, most_clients: int) -> None:
+        super().__init__(host, most_clients)
+        self.pools = (pool,)
         self.catalogue = Catalogue(settings)
         self.seen = SeenIds(max(kind.deadline_us for kind in settings.classes) / 1e6)
-        self.most_clients = most_clients
-        # each in the order in which its state began, so that the oldest is found at once
-        self.clients: dict[State, dict[Client, None]] = {state: {} for state in State}
-        self.coming: set[asyncio.Task[object]] = set()
-        self.stopping = False
-        self.sock: socket.socket | None = None
-
-    @property
-    def ready(self) -> bool:
-        return self.host.ready and not self.stopping
-
-    def count(self) -> int:
-        return sum(len(group) for group in self.clients.values())
-
-    def crowded(self) -> bool:
-        """Whether so many connections are open that new ones had better not stay."""
-        return self.count() > self.most_clients // 2
-
-    def listen(self, address: tuple[str, int]) -> None:
-        self.sock = socket.create_server(address, backlog=1024)
-        self.sock.setblocking(False)
-        self.loop.add_reader(self.sock, self.accept)
-        self.sweep()
-
-    def accept(self) -> None:
-        """Take what waits, in small lots. Hazard: asyncio's own server takes all that waits at once, and with
-        no descriptor left it stops for a second."""
-        assert self.sock is not None
-        for _ in range(ACCEPTS_A_TURN):
-            if self.count() >= self.most_clients and not self.make_room():
-                self.pause()
-                return
-            try:
-                sock, _ = self.sock.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:
-                log.warning("no connection can be taken: %r", error)
-                self.make_room()
-                self.pause()
-                return
-            sock.setblocking(False)
-            client = Client(self, sock)
-            self.clients[State.FRESH][client] = None
-            task = self.loop.create_task(self.take(client, sock))
-            self.coming.add(task)
-            task.add_done_callback(self.coming.discard)
-
-    async def take(self, client: Client, sock: socket.socket) -> None:
-        try:
-            await self.loop.connect_accepted_socket(lambda: client, sock)
-        except OSError:
-            self.remove(client)
-            sock.close()
-
-    def pause(self) -> None:
-        """Take no more for a moment, or the loop would turn without a rest."""
-        if self.sock is not None:
-            self.loop.remove_reader(self.sock)
-            self.loop.call_later(NO_ROOM_S, self.resume)
-
-    def resume(self) -> None:
-        if self.sock is not None:
-            self.loop.add_reader(self.sock, self.accept)
-
-    def make_room(self) -> bool:
-        """Of the connections with no request open the one goes that has been of no use for longest, half a
-        request last. Hazard: without a bound no descriptor would be left for upstreams and discovery."""
-        now = time.monotonic()
-        for state, age_s, half in LEAST_USE:
-            for client in self.clients[state]:
-                if client.since > now - age_s:
-                    break
-                if (client.transport is not None and (half or client.size == 0)
-                        and (state is State.ENDING or client.quiet())):
-                    client.close()
-                    self.remove(client)
-                    return True
-        return False
-
-    def move(self, client: Client, state: State) -> None:
-        """Its state changes."""
-        if client in self.clients[client.state]:
-            del self.clients[client.state][client]
-            client.state, client.since = state, time.monotonic()
-            self.clients[state][client] = None
-
-    def remove(self, client: Client) -> None:
-        self.clients[client.state].pop(client, None)
-
-    def sweep(self) -> None:
-        """Hazard: one who says nothing, or half of it, would hold a connection for ever."""
-        self.loop.call_later(SWEEP_S, self.sweep)
-        now = time.monotonic()
-        for state, longest_s in LONGEST_S.items():
-            overdue = []
-            for client in self.clients[state]:
-                if client.since > now - longest_s:
-                    break
-                overdue.append(client)
-            for client in overdue:
-                client.overdue()
-
-    def stop_idle(self) -> None:
-        """From now on each answer is the last one of its connection; idle connections close."""
-        self.stopping = True
-        for state in (State.IDLE, State.FRESH):
-            for client in list(self.clients[state]):
-                if client.size == 0 and client.transport is not None and client.quiet():
-                    client.close()
-
-    def stop_listening(self) -> None:
-        if self.sock is not None:
-            self.loop.remove_reader(self.sock)
-            self.sock.close()
-            self.sock = None
+
+    def connection(self, sock: socket.socket) -> Client:
+        return Client(self, sock)
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -1,6 +1,7 @@
-"""Hosts the one decision module: what happens becomes its events, and its actions are carried out.
+"""Hosts the decision modules: what happens becomes their events, and their actions are carried out.
 
-Nothing is decided here. Each request gets its final answer in `Host._answer` and each attempt its
+A server pool has a Balancer of its own; a request asks the pools that it was given in their order. Nothing is
+decided here. Each request gets its final answer in `Host._answer` and each attempt its
 outcome in `Host._end_attempt`, the only places for either, exactly once.
 """
 
@@ -9,12 +10,13 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from plovertrail.clock import clock_us
 from plovertrail.decisions import interface as api
-from plovertrail.decisions.balance import Balancer
+from plovertrail.decisions.balance import Balancer, Reissues
+from plovertrail.decisions.failover import Standing, next_pool
 from plovertrail.exchange import Answer, Call, Flight, Result, Upstreams, Verdict
 
 log = logging.getLogger(__name__)
@@ -23,8 +25,42 @@
 BACKSTOP_US = 5_000  # the host's own deadline comes so long after the module's
 
 
+class ServerPool:
+    """Servers under one Balancer: what is listed, and the connections that carry its attempts."""
+
+    def __init__(self, name: str, settings: api.Settings, seed: int, upstreams: Upstreams,
+                 reissues: Reissues) -> None:
+        self.name = name
+        self.settings = settings
+        self.upstreams = upstreams
+        self.balancer = Balancer(settings, seed, clock_us(), reissues)
+        self.addresses: dict[int, tuple[str, int]] = {}
+        self.serving: set[int] = set()  # the servers that new requests may go to
+
+    def forget(self, ident: int) -> None:
+        """Nothing new goes to a server, or to its old address."""
+        self.serving.discard(ident)
+        if self.addresses.pop(ident, None) is not None:
+            self.upstreams.forget(ident)
+
+    def list_changed(self, event: api.UpstreamsUpdated, addresses: dict[int, tuple[str, int]]) -> None:
+        """Follow a list; `addresses` has those of the entries of the event."""
+        if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
+            for ident in self.addresses.keys() - addresses.keys():
+                self.forget(ident)
+        for entry in event.upstreams:
+            if self.addresses.get(entry.id, addresses[entry.id]) != addresses[entry.id]:
+                self.forget(entry.id)
+            self.addresses[entry.id] = addresses[entry.id]
+            if entry.state is api.UpstreamState.READY:
+                self.serving.add(entry.id)
+            else:
+                self.forget(entry.id)
+
+
 @dataclass(slots=True)
 class Attempt:
+    pool: ServerPool
     upstream: int
     sent_us: int
     flight: Flight | None = None
@@ -38,117 +74,133 @@
     call: Call
     due_us: int
     reply: Callable[[Answer], None]
+    pools: Sequence[ServerPool]  # those it began with, in their order
+    standing: Standing
+    pool: ServerPool | None = None  # the one that has it now
+    first: int = 0  # the number of that pool's first attempt
+    last: Result | None = None  # of the attempt that ended last
     attempts: list[Attempt] = field(default_factory=list)
     timer: asyncio.TimerHandle | None = None
     over: bool = False  # it has had its final answer, or the client has gone
 
 
 class Host:
-    """One `Balancer`, its clock and timers, and the requests and attempts that are live."""
+    """The server pools, their clock and timers, and the requests and attempts that are live."""
 
-    def __init__(self, settings: api.Settings, seed: int, upstreams: Upstreams) -> None:
-        self.settings = settings
+    def __init__(self) -> None:
         self.loop = asyncio.get_running_loop()
-        self.upstreams = upstreams
         self.subscribe: Callable[[bool], None] = lambda active: None
+        self.reissues = Reissues()  # one budget for all pools
+        self.pools: list[ServerPool] = []
         self.requests: dict[int, Request] = {}
-        self.addresses: dict[int, tuple[str, int]] = {}
         self.last_ident = 0
-        self.events: deque[api.Event] = deque()
+        self.events: deque[tuple[ServerPool, api.Event]] = deque()
         self.running = False
-        self.balancer = Balancer(settings, seed, clock_us())
 
     # What happens
 
-    def start(self) -> None:
-        """Let the module ask for what it wants from the first moment on."""
-        self._tell(api.TimerFired(0))
-
-    def arrived(self, call: Call, reply: Callable[[Answer], None]) -> int:
+    def add_pool(self, name: str, settings: api.Settings, seed: int, upstreams: Upstreams) -> ServerPool:
+        """A new pool; its module may ask for what it wants from the first moment on."""
+        pool = ServerPool(name, settings, seed, upstreams, self.reissues)
+        self.pools.append(pool)
+        return pool
+
+    def start(self, pool: ServerPool) -> None:
+        self._tell(pool, api.TimerFired(0))
+
+    def retire(self, pool: ServerPool) -> None:
+        """A pool that is configured no more: nothing new goes to its servers, what is out finishes."""
+        self.pools.remove(pool)
+        self.list_changed(pool, api.UpstreamsUpdated(api.ListKind.FULL), {})
+        for request in list(self.requests.values()):
+            # hazard: one that waits in its buffer would wait for a slot that never comes
+            if request.pool is pool and not request.over and all(a.ended for a in request.attempts):
+                self._tell(pool, api.RequestGone(request.ident))
+                self._given_up(request, Answer(Verdict.REFUSED, self._retry_after_us(pool)))
+
+    def arrived(self, call: Call, reply: Callable[[Answer], None], pools: Sequence[ServerPool]) -> int:
         """A request has been taken; `reply` is called once with its answer unless the client goes first."""
         self.last_ident += 1
         due_us = call.arrived_us + max(1, call.deadline_us - ANSWER_MARGIN_US)
-        request = Request(self.last_ident, call, due_us, reply)
+        request = Request(self.last_ident, call, due_us, reply, pools, Standing(due_us))
         self.requests[request.ident] = request
         # hazard: whatever becomes of the module's own timers, no client is left without an answer
         request.timer = self._at(due_us + BACKSTOP_US, self._overdue, request)
-        self._tell(api.RequestArrived(request.ident, due_us, call.class_index, call.tenant, call.key,
-                                      call.cost_us, call.retried))
+        self._given_up(request, Answer(Verdict.REFUSED, self._retry_after_us(pools[0])))
         return request.ident
 
+    @staticmethod
+    def _retry_after_us(pool: ServerPool) -> int:
+        """Where no server is listed there is nothing to estimate by: the longest advice."""
+        return pool.settings.max_retry_after_us if pool.settings.retry_after else 0
+
     def gone(self, ident: int) -> None:
         """The client has closed its connection."""
         request = self.requests.get(ident)
         if request is not None and not request.over:
             self._finish(request)
-            self._tell(api.RequestGone(ident))
+            if request.pool is not None:
+                self._tell(request.pool, api.RequestGone(ident))
 
-    def list_changed(self, event: api.UpstreamsUpdated, addresses: dict[int, tuple[str, int]]) -> None:
-        """Discovery has spoken; `addresses` has those of the entries of the event."""
-        if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
-            for ident in self.addresses.keys() - addresses.keys():
-                self._forget(ident)
-        for entry in event.upstreams:
-            if self.addresses.get(entry.id, addresses[entry.id]) != addresses[entry.id]:
-                self._forget(entry.id)
-            self.addresses[entry.id] = addresses[entry.id]
-            if entry.state is not api.UpstreamState.READY:
-                self._forget(entry.id)
-        self._tell(event)
+    def list_changed(self, pool: ServerPool, event: api.UpstreamsUpdated,
+                     addresses: dict[int, tuple[str, int]]) -> None:
+        """What is known of a pool's servers has changed."""
+        pool.list_changed(event, addresses)
+        self._tell(pool, event)
 
     @property
     def ready(self) -> bool:
-        """Whether there is an upstream to send to."""
-        return bool(self.addresses)
+        """Whether there is a server to send to."""
+        return any(pool.addresses for pool in self.pools)
 
     # Events in, actions out
 
-    def _tell(self, event: api.Event) -> None:
+    def _tell(self, pool: ServerPool, event: api.Event) -> None:
         """Hand over an event and carry out the actions; what they bring about at once waits its turn."""
-        self.events.append(event)
+        self.events.append((pool, event))
         if self.running:
             return
         self.running = True
         try:
             while self.events:
-                self._handle(self.events.popleft())
+                self._handle(*self.events.popleft())
         finally:
             self.running = False
 
-    def _handle(self, event: api.Event) -> None:
+    def _handle(self, pool: ServerPool, event: api.Event) -> None:
         try:
-            actions = self.balancer.handle(clock_us(), event)
+            actions = pool.balancer.handle(clock_us(), event)
         except Exception:
             # hazard: one request that the module stumbles over must not take the others with it
             log.exception("the module failed on %s", type(event).__name__)
             request = self.requests.get(getattr(event, "request", 0))
             if request is not None and not request.over:
                 self._answer(request.ident, Answer(Verdict.FAILED))
-                self.events.append(api.RequestGone(request.ident))
+                self.events.append((pool, api.RequestGone(request.ident)))
             return
         for action in actions:
             try:
-                self._carry_out(action)
+                self._carry_out(pool, action)
             except Exception:
                 log.exception("could not carry out %s", type(action).__name__)
 
-    def _carry_out(self, action: api.Action) -> None:
+    def _carry_out(self, pool: ServerPool, action: api.Action) -> None:
         if isinstance(action, api.Send):
-            self._send(action)
+            self._send(pool, action)
         elif isinstance(action, api.Refuse):
-            self._answer(action.request, Answer(Verdict.REFUSED, retry_after_us=action.retry_after_us))
+            self._gave_up(pool, action.request, Answer(Verdict.REFUSED, action.retry_after_us))
         elif isinstance(action, api.Fail):
-            self._answer(action.request, Answer(Verdict.FAILED))
+            self._gave_up(pool, action.request, Answer(Verdict.FAILED))
         elif isinstance(action, api.SetTimer):
-            self._at(action.at_us, self._tell, api.TimerFired(action.token))
+            self._at(action.at_us, self._tell, pool, api.TimerFired(action.token))
         elif isinstance(action, api.Cancel):
-            self._cancel(action)
+            self._cancel(pool, action)
         elif isinstance(action, api.CloseIdle):
-            self.upstreams.close_idle(action.upstream)
+            pool.upstreams.close_idle(action.upstream)
         elif isinstance(action, api.Subscribe):
             self.subscribe(action.active)
         elif isinstance(action, api.Log):
-            log.info("%s", action.text)
+            log.info("%s", f"{pool.name}: {action.text}" if pool.name else action.text)
         else:
             log.warning("not carried out here: %s", type(action).__name__)
 
@@ -160,8 +212,32 @@
     def _overdue(self, request: Request) -> None:
         if not request.over:
             log.warning("a request was overdue")
-            self._answer(request.ident, Answer(Verdict.FAILED))
-            self._tell(api.RequestGone(request.ident))
+            self._answer(request.ident, Answer(Verdict.FAILED, result=request.last))
+            if request.pool is not None:
+                self._tell(request.pool, api.RequestGone(request.ident))
+
+    def _gave_up(self, pool: ServerPool, ident: int, answer: Answer) -> None:
+        """A pool's module gives a request up."""
+        request = self.requests.get(ident)
+        if request is not None and request.pool is pool and not request.over:
+            self._given_up(request, answer)
+
+    def _given_up(self, request: Request, answer: Answer) -> None:
+        """No pool has the request: on to its next one, or else this is its answer."""
+        standing = request.standing
+        serving = [bool(pool.serving) for pool in request.pools]
+        most = request.pools[0].settings.max_attempts
+        number = next_pool(standing, serving, most, self.reissues, clock_us())
+        if number is None:
+            answer.result = request.last
+            self._answer(request.ident, answer)
+            return
+        pool, call = request.pools[number], request.call
+        standing.asked = number + 1
+        request.pool, request.first = pool, len(request.attempts)
+        self._tell(pool, api.RequestArrived(request.ident, request.due_us, call.class_index, call.tenant,
+                                            call.key, call.cost_us, call.retried,
+                                            earlier_attempts=standing.attempts))
 
     def _answer(self, ident: int, answer: Answer) -> None:
         """The one place of final answers."""
@@ -188,33 +264,36 @@
 
     # Attempts
 
-    def _send(self, action: api.Send) -> None:
+    def _send(self, pool: ServerPool, action: api.Send) -> None:
         request = self.requests.get(action.request)
-        if request is None:
+        if request is None or request.pool is not pool:
             return  # over, and the module has been told
         now_us = clock_us()
         number = len(request.attempts)
-        attempt = Attempt(action.upstream, now_us)
+        attempt = Attempt(pool, action.upstream, now_us)
         request.attempts.append(attempt)
-        address = self.addresses.get(action.upstream)
+        request.standing.attempt_began()
+        address = pool.addresses.get(action.upstream)
         left_us = request.due_us - now_us
         if (request.over or address is None or left_us <= 0 or action.timeout_us < 0
-                or number >= self.settings.max_attempts):
+                or number >= pool.settings.max_attempts):
             self._end_attempt(request, number, Result(api.Outcome.NOT_SENT))
             return
         timeout_us = min(action.timeout_us or left_us, left_us)
         attempt.timer = self._at(now_us + timeout_us, self._timed_out, request, number)
-        attempt.flight = self.upstreams.start(
+        attempt.flight = pool.upstreams.start(
             action.upstream, address, request.call, timeout_us,
             lambda result: self._end_attempt(request, number, result))
 
     def _timed_out(self, request: Request, number: int) -> None:
         self._give_up(request, number, api.Outcome.TIMEOUT)
 
-    def _cancel(self, action: api.Cancel) -> None:
+    def _cancel(self, pool: ServerPool, action: api.Cancel) -> None:
         request = self.requests.get(action.request)
-        if request is not None and action.attempt < len(request.attempts):
-            self._give_up(request, action.attempt, api.Outcome.CANCELLED)
+        if request is not None and request.pool is pool:
+            number = request.first + action.attempt
+            if number < len(request.attempts):
+                self._give_up(request, number, api.Outcome.CANCELLED)
 
     def _give_up(self, request: Request, number: int, outcome: api.Outcome) -> None:
         attempt = request.attempts[number]
@@ -234,13 +313,11 @@
         attempt.flight = None
         if attempt.timer is not None:
             attempt.timer.cancel()
+        request.last = result
+        request.standing.attempt_ended(result.outcome)
         if result.outcome is api.Outcome.OK:
-            self._answer(request.ident, Answer(Verdict.SERVED, result.body, result.content_type))
+            self._answer(request.ident, Answer(Verdict.SERVED, result=result))
         elapsed_us = clock_us() - attempt.sent_us
         self._drop_if_done(request)
-        self._tell(api.AttemptEnded(request.ident, number, attempt.upstream, result.outcome, elapsed_us,
-                                    request.over))
-
-    def _forget(self, ident: int) -> None:
-        if self.addresses.pop(ident, None) is not None:
-            self.upstreams.forget(ident)
+        self._tell(attempt.pool, api.AttemptEnded(request.ident, number - request.first, attempt.upstream,
+                                                  result.outcome, elapsed_us, request.over))
--- a/plovertrail/upstreams/connections.py
+++ b/plovertrail/upstreams/connections.py
@@ -6,6 +6,7 @@
 import logging
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import httptools
 
@@ -15,22 +16,39 @@
 
 log = logging.getLogger(__name__)
 
-LONGEST_BODY = 64 * 1024
-LONGEST_ANSWER = 256 * 1024  # with its head, what comes ahead of it, and its framing
 LONGEST_HEAD = 32 * 1024
+FRAMING = 4  # an answer with its head, what comes ahead of it, and its framing holds so many bodies at most
 IDLE_MARGIN_US = 300_000  # an upstream may close a connection while a request is on its way to it
 BREAKS_MEMORY = 16  # uses of connections that were idle for about as long
 MOST_BREAKS = 0.15  # share of them that may break: a request lost costs about ten new connections
 BREAKS_FADE = 0.99  # for each one passed over, so that they are tried again
+BODYLESS = (b"GET", b"HEAD", b"OPTIONS", b"DELETE")  # no length is told where there is no body
 Address = tuple[str, int]
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerRules:
+    """Which answers of servers are taken, and which of these tell of a fault."""
+
+    longest_body: int = 64 * 1024
+    faults: frozenset[int] | None = None  # statuses; None: all but 200
+    until_close: bool = False  # whether the end of the connection may end an answer (RFC 9112, section 6.3)
+
+    def outcome(self, status: int, not_run: bool) -> Outcome:
+        """What a whole answer means. Hazard: only the server's own word tells that nothing has run."""
+        if status in (503, 504) and not_run:
+            return Outcome.FULL
+        good = status == 200 if self.faults is None else status not in self.faults
+        return Outcome.OK if good else Outcome.ERROR
+
+
 def request_head(call: Call, address: Address, timeout_us: int) -> bytes:
     """The head of an attempt: the client's own, with the time that the sidecar will wait."""
-    lines = [b"%s %s HTTP/1.1\r\nHost: %s:%d" % (call.method, call.target, address[0].encode(), address[1])]
+    host = call.host or b"%s:%d" % (address[0].encode(), address[1])
+    lines = [b"%s %s HTTP/1.1\r\nHost: %s" % (call.method, call.target, host)]
     lines.extend([b"%s: %s" % header for header in call.headers])
     lines.append(b"X-Deadline-Ms: %d" % max(1, timeout_us // 1000))
-    if call.method != b"GET" or call.body:
+    if call.body or call.method not in BODYLESS:
         lines.append(b"Content-Length: %d" % len(call.body))
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
@@ -38,8 +56,9 @@
 class Attempt:
     """One attempt: it has a connection, or waits until its connection is up."""
 
-    def __init__(self, data: bytes, ended: Callable[[Result], None]) -> None:
+    def __init__(self, data: bytes, ended: Callable[[Result], None], to_head: bool = False) -> None:
         self.data = data
+        self.to_head = to_head  # its answer has a head only
         self.ended = ended
         self.connection: Connection | None = None
         self.written = False
@@ -62,7 +81,7 @@
 class Connection(asyncio.Protocol):
     """A connection to an upstream; it carries one attempt at a time."""
 
-    def __init__(self, pool: Pool, upstream: int, sock: socket.socket) -> None:
+    def __init__(self, pool: ConnectionPool, upstream: int, sock: socket.socket) -> None:
         self.pool = pool
         self.upstream = upstream
         self.forgotten = False  # the upstream is not in the list any more, or has moved
@@ -77,7 +96,8 @@
         self.complete = False  # the answer is whole
         self.status = 0
         self.not_run = False
-        self.content_type = b""
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.framed = False  # the head tells where the answer ends
         self.body = bytearray()
         self.received = 0
         self.head_done = False
@@ -123,7 +143,8 @@
         self.parser = httptools.HttpResponseParser(self)
         self.complete = self.not_run = False
         self.status = 0
-        self.content_type = b""
+        self.headers = []
+        self.framed = False
         self.body = bytearray()
         self.received = 0
         self.head_done = False
@@ -138,24 +159,34 @@
             self.closed = True  # more than one answer: the connection is of no further use
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self.complete:
-            return
-        name = name.lower()
-        if name == b"content-length" and int(value) > LONGEST_BODY:
-            raise ValueError("the answer is too long")  # hazard: it may keep coming for hours
-        if name == b"x-not-run":
+        if self.complete or self.head_done:
+            return  # of a second answer, or behind a chunked body
+        plain = name.lower()
+        if plain == b"content-length":
+            self.framed = True
+            if int(value) > self.pool.rules.longest_body and not self.to_head():
+                raise ValueError("the answer is too long")  # hazard: it may keep coming for hours
+        elif plain == b"transfer-encoding":
+            self.framed = True
+        elif plain == b"x-not-run":
             self.not_run = value.strip() == b"1"
-        elif name == b"content-type":
-            self.content_type = value
+        self.headers.append((name, value))
+
+    def to_head(self) -> bool:
+        return self.attempt is not None and self.attempt.to_head
 
     def on_headers_complete(self) -> None:
         self.head_done = True
+        if self.to_head() and self.parser is not None and self.parser.get_status_code() >= 200:
+            self.on_message_complete()  # the parser doesn't know what was asked, and waits for a body
 
     def on_body(self, data: bytes) -> None:
         if not self.complete:
             self.body += data
-            if len(self.body) > LONGEST_BODY:
+            if len(self.body) > self.pool.rules.longest_body:
                 raise ValueError("the answer is too long")
+        else:
+            self.closed = True  # hazard: a body where none belongs would be read as the next answer
 
     def on_message_complete(self) -> None:
         assert self.parser is not None
@@ -163,8 +194,8 @@
             return
         self.status = self.parser.get_status_code()
         if self.status < 200:  # an interim answer; the final one follows
-            self.not_run = self.head_done = False
-            self.content_type = b""
+            self.not_run = self.head_done = self.framed = False
+            self.headers = []
             return
         self.complete = True
         if not self.parser.should_keep_alive():
@@ -182,28 +213,26 @@
             spoilt = self.closed = True  # hazard: what follows would be taken for the next answer
         if self.complete:
             self.finish_complete()
-        elif spoilt or self.received > (LONGEST_ANSWER if self.head_done else LONGEST_HEAD):
+        elif spoilt or self.received > self.most():
             self.close()  # hazard: an answer without end would fill the memory
             self.finish(Outcome.SPOILT)
 
+    def most(self) -> int:
+        """Bytes that an answer may hold, as far as it is known."""
+        return FRAMING * self.pool.rules.longest_body if self.head_done else LONGEST_HEAD
+
     def finish_complete(self) -> None:
         if self.closed or self.unsent:  # hazard: the rest of this request would be read as the next one
             self.close()
-        if self.status == 200:
-            outcome = Outcome.OK
-        elif self.status in (503, 504) and self.not_run:
-            outcome = Outcome.FULL
-        else:
-            outcome = Outcome.ERROR
-        self.finish(outcome)
+        self.finish(self.pool.rules.outcome(self.status, self.not_run))
 
     def finish(self, outcome: Outcome) -> None:
         attempt, self.attempt = self.attempt, None
         if self.idle_us > 0:
             self.pool.learn(self.idle_us, broke=outcome is Outcome.RESET and self.received == 0)
         result = Result(outcome)
-        if outcome is Outcome.OK:
-            result = Result(outcome, bytes(self.body), self.content_type)
+        if self.complete:
+            result = Result(outcome, self.status, self.headers, bytes(self.body))
         self.parser = None
         self.body = bytearray()
         if not self.closed:
@@ -216,6 +245,11 @@
 
     def eof_received(self) -> None:
         self.closed = True
+        if (self.pool.rules.until_close and self.attempt is not None and self.parser is not None
+                and self.head_done and not self.framed and not self.complete):
+            self.status = self.parser.get_status_code()
+            self.complete = True
+            self.finish_complete()
 
     def connection_lost(self, error: Exception | None) -> None:
         self.closed = True
@@ -232,18 +266,21 @@
             self.transport.abort()
 
 
-class Pool:
-    """Connections to all upstreams. Hazards: it goes by upstream, not by address, as an upstream may come to
-    the address of one that has gone; and the one that has been idle for longest is used first, as an end, or
-    more than its answer, may still be on the way on one that has just had its answer."""
+class ConnectionPool:
+    """Connections to all upstreams of a list. Hazards: it goes by upstream, not by address, as an upstream
+    may come to the address of one that has gone; and the one that has been idle for longest is used first, as
+    an end, or more than its answer, may still be on the way on one that has just had its answer."""
 
-    def __init__(self, idle_us: int, dial_timeout_us: int, most: int) -> None:
+    def __init__(self, idle_us: int, dial_timeout_us: int, most: int,
+                 rules: AnswerRules | None = None) -> None:
         self.loop = asyncio.get_running_loop()
         self.keep_us = max(0, idle_us - IDLE_MARGIN_US)
         # share of connections that broke at their next request, by log2 of their idle time
         self.breaks = [0.0] * 64
         self.dial_timeout_us = dial_timeout_us
         self.most = most  # connections
+        self.rules = rules or AnswerRules()
+        self.ended = False  # nothing new comes; what is open finishes
         self.connections: dict[int, set[Connection]] = {}  # all there are, also those coming up
         self.idle: dict[int, list[Connection]] = {}
         self.dials: set[asyncio.Task[None]] = set()
@@ -251,7 +288,7 @@
 
     def start(self, upstream: int, address: Address, call: Call, timeout_us: int,
               ended: Callable[[Result], None]) -> Attempt:
-        attempt = Attempt(request_head(call, address, timeout_us) + call.body, ended)
+        attempt = Attempt(request_head(call, address, timeout_us) + call.body, ended, call.method == b"HEAD")
         now_us = clock_us()
         while idle := self.idle.get(upstream):
             connection = idle[0]
@@ -347,6 +384,8 @@
 
     def sweep(self) -> None:
         """Close what upstreams are about to close."""
+        if self.ended and not self.connections:
+            return
         self.sweeper = self.loop.call_later(0.1, self.sweep)
         oldest_us = clock_us() - self.keep_us
         for connections in list(self.idle.values()):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -16,7 +16,8 @@
 from plovertrail.decisions.interface import AttemptEnded, Event, Outcome, RequestClass
 from plovertrail.exchange import Call, Result
 from plovertrail.fronts import application as server
-from plovertrail.upstreams.connections import Attempt, Connection, Pool
+from plovertrail.fronts import connections
+from plovertrail.upstreams.connections import Attempt, Connection, ConnectionPool
 from tests.net import (
     NOT_RUN,
     OK,
@@ -233,7 +234,7 @@
 
 def test_connections_to_upstreams_are_bounded() -> None:
     async def test() -> None:
-        pool, results = Pool(60_000_000, 10_000_000, most=2), list[Result]()
+        pool, results = ConnectionPool(60_000_000, 10_000_000, most=2), list[Result]()
         upstreams = [Upstream(answering(OK)), Upstream(silent), Upstream(silent)]
         for upstream in upstreams:
             await upstream.start()
@@ -265,7 +266,7 @@
 
 def test_connections_idle_for_as_long_as_others_that_broke_are_not_used() -> None:
     async def test() -> None:
-        pool = Pool(60_000_000, 10_000_000, most=10)
+        pool = ConnectionPool(60_000_000, 10_000_000, most=10)
         for _ in range(30):
             assert pool.trusted(200_000) and pool.trusted(20_000)
             pool.learn(200_000, broke=False)
@@ -289,7 +290,7 @@
 
         upstream, results = Upstream(script), list[Result]()
         await upstream.start()
-        pool = Pool(60_000_000, 10_000_000, most=10)
+        pool = ConnectionPool(60_000_000, 10_000_000, most=10)
         call = Call(b"POST", b"/pay", [], b"", 0, 0, 1)
         for number in range(80):
             pool.start(1, ("127.0.0.1", upstream.port), call, 0, results.append)
@@ -354,7 +355,7 @@
 def test_a_request_that_was_not_written_whole_never_ran_and_its_connection_ends(early: bytes) -> None:
     async def test() -> None:
         loop = asyncio.get_running_loop()
-        pool, results = Pool(60_000_000, 10_000_000, most=10), list[Result]()
+        pool, results = ConnectionPool(60_000_000, 10_000_000, most=10), list[Result]()
         with socket.socket() as listener:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             listener.bind(("127.0.0.1", 0))
@@ -484,7 +485,7 @@
 @pytest.mark.parametrize("part", [b"", b"POST /pay HT", request("pay", body=b"abc")[:-1]])
 def test_a_client_that_says_nothing_or_half_of_it_is_ended_in_time(
         part: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setitem(server.LONGEST_S, server.State.FRESH, 0.2)
+    monkeypatch.setitem(connections.LONGEST_S, connections.State.FRESH, 0.2)
 
     async def test() -> None:
         async with sidecar(Upstream(answering(OK))) as it:
