--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -46,7 +46,7 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (needed, hard))
 
 
-def seed() -> int:
+def random_seed() -> int:
     """For the random draws of one Balancer."""
     return int.from_bytes(os.urandom(8))
 
@@ -81,14 +81,15 @@
 class RunningPool:
     """A pool in force: what was configured, its place in the host, and its connections."""
 
-    def __init__(self, host: Host, config: operator.Pool, max_answer: int, members: Members) -> None:
+    def __init__(self, host: Host, config: operator.Pool, max_answer: int, members: Members,
+                 seed: int) -> None:
         self.config = config
         self.max_answer = max_answer
         self.members = members
         self.connections = ConnectionPool(
             config.idle_us, config.settings.connect_timeout_us, most=config.max_connections,
             rules=AnswerRules(max_answer, FAULTS, until_close=True))
-        self.pool = host.add_pool(config.name, config.settings, seed(), self.connections)
+        self.pool = host.add_pool(config.name, config.settings, seed, self.connections)
 
     def fits(self, config: operator.Pool, max_answer: int) -> bool:
         """Whether it can go on under a new setup, with another list at most. Hazard: classes are known by
@@ -113,9 +114,11 @@
 class Daemon:
     """One process's listeners and pools under the setup in force."""
 
-    def __init__(self, setup: operator.Setup, load: Callable[[str], operator.Setup] = operator.load) -> None:
+    def __init__(self, setup: operator.Setup, load: Callable[[str], operator.Setup] = operator.load,
+                 seeds: Callable[[], int] = random_seed) -> None:
         self.loop = asyncio.get_running_loop()
         self.load = load
+        self.seeds = seeds
         self.host = Host()
         self.pools: dict[str, RunningPool] = {}
         self.came_us: dict[Key, int] = {}
@@ -145,7 +148,7 @@
             pool = old
             if pool is None or not pool.fits(config, setup.limits.max_answer):
                 members = pool.members if pool is not None else Members()
-                pool = RunningPool(self.host, config, setup.limits.max_answer, members)
+                pool = RunningPool(self.host, config, setup.limits.max_answer, members, self.seeds())
                 if old is not None:
                     replaced.append(old)
             pool.follow(self.host, config, self.came_us, again=old is not None and pool is not old)
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -370,7 +370,7 @@
         """Rules 1 and 2 as far as they don't depend on the upstream."""
         if request.done or request.streaming or self.now_us >= request.event.due_us:
             return False
-        if request.attempts_made() >= self.settings.max_attempts:
+        if request.attempts_made() + request.event.kept_attempts >= self.settings.max_attempts:
             return False
         if request.out() > 0 and not self.settings.second_copies:
             return False
--- a/plovertrail/decisions/failover.py
+++ b/plovertrail/decisions/failover.py
@@ -39,3 +39,10 @@
     if standing.attempts and (standing.attempts >= most_attempts or reissues.in_hand < 1.0):
         return None
     return next((number for number in range(standing.asked, len(serving)) if serving[number]), None)
+
+
+def kept_attempts(standing: Standing, serving: Sequence[bool], number: int, most_attempts: int) -> int:
+    """How many attempts a pool must leave: one for each pool behind it, as far as there are so many. Hazard:
+    a pool whose servers all refuse would use up the attempts, and the one that is well would get none."""
+    behind = sum(1 for serves in serving[number + 1:] if serves)
+    return max(0, min(behind, most_attempts - standing.attempts - 1))
--- a/plovertrail/decisions/interface.py
+++ b/plovertrail/decisions/interface.py
@@ -167,6 +167,7 @@
     retried: bool = False  # the client sends it again
     write: bool = False
     earlier_attempts: int = 0  # by other pools, all known not to have run
+    kept_attempts: int = 0  # left to the pools that may be asked after this one
 
 
 @dataclass(slots=True)
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -16,7 +16,7 @@
 from plovertrail.clock import clock_us
 from plovertrail.decisions import interface as api
 from plovertrail.decisions.balance import Balancer, Reissues
-from plovertrail.decisions.failover import Standing, next_pool
+from plovertrail.decisions.failover import Standing, kept_attempts, next_pool
 from plovertrail.exchange import Answer, Call, Flight, Result, Upstreams, Verdict
 
 log = logging.getLogger(__name__)
@@ -237,7 +237,8 @@
         request.pool, request.first = pool, len(request.attempts)
         self._tell(pool, api.RequestArrived(request.ident, request.due_us, call.class_index, call.tenant,
                                             call.key, call.cost_us, call.retried,
-                                            earlier_attempts=standing.attempts))
+                                            earlier_attempts=standing.attempts,
+                                            kept_attempts=kept_attempts(standing, serving, number, most)))
 
     def _answer(self, ident: int, answer: Answer) -> None:
         """The one place of final answers."""
--- a/standins/web.py
+++ b/standins/web.py
@@ -101,6 +101,7 @@
 
     script: Script = lambda server, arrival, line: OK
     name: str = ""
+    row: str = ""  # further keys of its row in an operator's file
     keep: bool = True
     count: int = 0
     connections: int = 0
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,84 @@
+"""The commands that start no daemon, and the demo."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner, Result
+
+from plovertrail.cli import main
+from tests.config.test_operator import EXAMPLE
+
+
+def call(*arguments: str) -> Result:
+    return CliRunner().invoke(main, list(arguments))
+
+
+def test_check_says_what_a_good_file_holds_and_what_is_wrong_with_a_bad_one(tmp_path: Path) -> None:
+    good = call("check", str(EXAMPLE))
+    assert good.exit_code == 0 and "4 routes, 2 pools with 4 servers, 3 classes" in good.output
+    path = tmp_path / "bad.toml"
+    path.write_text(
+        EXAMPLE.read_text().replace('"chapter-buy"', '"chapter-by"').replace('"127.0.0.1:9001"', '"s1"')
+    )
+    bad = call("check", str(path))
+    assert bad.exit_code == 2 and "2 problems" in bad.output
+    assert 'did you mean "chapter-buy"?' in bad.output and "pools.store.servers[0].address" in bad.output
+    assert call("check", str(tmp_path / "none")).exit_code == 2
+
+
+@pytest.mark.parametrize(
+    ("arguments", "told"),
+    [
+        (
+            ("POST", "http://shop.example/buy/7%41?x=1", "-H", "X-Publisher: big-serial"),
+            [
+                "route     buy",
+                "pools     store, then reserve",
+                "class     chapter-buy (unsafe), deadline 1200 ms",
+                "to server POST /buy/7A?x=1",
+                "tenant    big-serial",
+                "topup: another path",
+                "pages: another method",
+            ],
+        ),
+        (
+            ("GET", "/covers/one.png", "-H", "Host: a"),
+            [
+                "route     covers",
+                "to server GET /images/one.png",
+                "pages: matches, but another route goes first",
+            ],
+        ),
+        (("GET", "/x", "-H", "Host: a"), ["route     pages", "without x-debug"]),
+    ],
+)
+def test_route_says_which_route_and_why_the_others_lost(arguments: tuple[str, ...], told: list[str]) -> None:
+    done = call("route", str(EXAMPLE), *arguments)
+    assert done.exit_code == 0
+    for words in told:
+        assert words in done.output
+
+
+@pytest.mark.parametrize(
+    ("arguments", "told"),
+    [
+        (("DELETE", "/x"), "answered 405"),
+        (("GET", "/buy/..%2fx"), "answered 400: an encoded slash"),
+        (("POST", "/x"), "Allow: GET, HEAD, OPTIONS"),
+    ],
+)
+def test_route_exits_with_1_where_no_route_takes_a_request(arguments: tuple[str, ...], told: str) -> None:
+    done = call("route", str(EXAMPLE), *arguments)
+    assert done.exit_code == 1 and told in done.output
+
+
+def test_route_wants_headers_with_a_name() -> None:
+    assert call("route", str(EXAMPLE), "GET", "/", "-H", "nonsense").exit_code == 2
+
+
+def test_the_demo_serves_and_ends_with_a_summary() -> None:
+    done = call("demo", "--seconds", "1")
+    assert done.exit_code == 0 and "curl -i http://127.0.0.1:" in done.output
+    assert "answered 200" in done.output and "s3: " in done.output
--- /dev/null
+++ b/tests/daemons.py
@@ -0,0 +1,186 @@
+"""A daemon in this process, a file for it, and a client that speaks raw HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+from plovertrail.config.operator import load
+from plovertrail.daemon import Daemon
+from standins.web import WebServer
+from tests.net import PATIENCE_S, free_port
+
+CLASSES = """
+[classes.read]
+effect = "safe"
+aim = "1s"
+deadline = "15s"
+[classes.buy]
+effect = "unsafe"
+aim = "1s"
+deadline = "15s"
+[classes.mark]
+effect = "keyed"
+key_header = "Idempotency-Key"
+memory = "15s"
+group = "cell"
+aim = "1s"
+deadline = "15s"
+"""
+ROUTES = """
+[[routes]]
+name = "buy"
+path = "/buy"
+class = "buy"
+pools = [{pools}]
+[[routes]]
+name = "mark"
+path = "/mark"
+class = "mark"
+pools = [{pools}]
+[[routes]]
+name = "rest"
+class = "read"
+pools = [{pools}]
+"""
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test that hangs for no longer than a minute."""
+
+    async def limited() -> None:
+        async with asyncio.timeout(3 * PATIENCE_S):
+            await test()
+
+    asyncio.run(limited())
+
+
+def pool_text(name: str, servers: Sequence[WebServer], extra: str = "") -> str:
+    rows = ", ".join(
+        f'{{ id = "{name}{number}", address = "{server.address}"{server.row} }}'
+        for number, server in enumerate(servers)
+    )
+    return f"[pools.{name}]\nservers = [{rows}]\n{extra}\n"
+
+
+def site(
+    port: int,
+    pools: Mapping[str, Sequence[WebServer]],
+    routes: str = "",
+    listener: str = "",
+    pool_extra: str = "",
+    head: str = "",
+) -> str:
+    """An operator's file; without `routes`, each class has one, through all pools in their order."""
+    names = ", ".join(f'"{name}"' for name in pools)
+    return (
+        head
+        + f'[listeners.web]\naddress = "127.0.0.1:{port}"\n{listener}\n'
+        + CLASSES
+        + "".join(pool_text(name, servers, pool_extra) for name, servers in pools.items())
+        + (routes or ROUTES.replace("{pools}", names))
+    )
+
+
+@dataclass
+class Reply:
+    """A whole answer."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+    def all(self, name: str) -> list[str]:
+        return [value for key, value in self.headers if key.lower() == name.lower()]
+
+
+class Client:
+    """One connection of a client."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    async def reply(self, to_head: bool = False) -> Reply:
+        """The next answer, framed by its own head; raises IncompleteReadError if there is none."""
+        async with asyncio.timeout(PATIENCE_S):
+            head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            first, *lines = head.rstrip().split("\r\n")
+            headers = [(name, value.strip()) for name, _, value in (line.partition(":") for line in lines)]
+            length = next((int(value) for name, value in headers if name.lower() == "content-length"), 0)
+            body = b"" if to_head or " 304 " in first + " " else await self.reader.readexactly(length)
+        return Reply(int(first.split(" ")[1]), headers, body)
+
+    async def ask(self, data: bytes) -> Reply:
+        self.writer.write(data)
+        return await self.reply(to_head=data.startswith(b"HEAD "))
+
+    async def ended(self) -> bool:
+        """Whether the daemon has ended the connection, with nothing more sent."""
+        async with asyncio.timeout(PATIENCE_S):
+            try:
+                return await self.reader.read() == b""
+            except ConnectionError:
+                return True
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+@dataclass
+class Running:
+    """A daemon that serves."""
+
+    daemon: Daemon
+    port: int
+    path: Path
+
+    async def connect(self) -> Client:
+        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    async def ask(self, data: bytes) -> Reply:
+        """One request on a connection of its own."""
+        client = await self.connect()
+        try:
+            return await client.ask(data)
+        finally:
+            client.close()
+
+    async def change(self, text: str) -> bool:
+        """Replace the file, and have it read again."""
+        self.path.write_text(text)
+        return await self.daemon.reload()
+
+
+def message(line: str, *headers: str, body: bytes = b"", host: str = "shop.example") -> bytes:
+    """A request; `line` is method and target."""
+    lines = [f"{line} HTTP/1.1", *([f"Host: {host}"] if host else []), *headers]
+    if body or line.startswith("POST"):
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+@asynccontextmanager
+async def running(
+    folder: Path, pools: Mapping[str, Sequence[WebServer]], **more: str
+) -> AsyncIterator[Running]:
+    """A daemon in front of these stand-ins, all of them ended with it."""
+    for servers in pools.values():
+        for server in servers:
+            if server.port == 0:
+                await server.start()
+    port, path = free_port(), folder / "site.toml"
+    path.write_text(site(port, pools, **more))
+    daemon = Daemon(load(str(path)), seeds=itertools.count(1).__next__)
+    try:
+        yield Running(daemon, port, path)
+    finally:
+        async with asyncio.timeout(PATIENCE_S):
+            await daemon.stop()
+        for servers in pools.values():
+            for server in servers:
+                server.stop()
--- a/tests/decisions/test_failover.py
+++ b/tests/decisions/test_failover.py
@@ -5,7 +5,7 @@
 import pytest
 
 from plovertrail.decisions.balance import MOST_RETRIES, NEVER_RAN, Balancer, Reissues
-from plovertrail.decisions.failover import Standing, next_pool
+from plovertrail.decisions.failover import Standing, kept_attempts, next_pool
 from plovertrail.decisions.interface import (
     AttemptEnded,
     ListKind,
@@ -87,3 +87,14 @@
     after = reissues.in_hand
     assert after == MOST_RETRIES - 2
     assert sends(second, earlier=2) == 1 and reissues.in_hand == after - 1
+
+
+def test_a_pool_leaves_an_attempt_to_each_pool_behind_it() -> None:
+    def kept(standing: Standing, *serving: bool, number: int = 0, most: int = 4) -> int:
+        return kept_attempts(standing, serving, number, most)
+
+    assert kept(tried(), True) == 0 and kept(tried(), True, True) == 1
+    assert kept(tried(), True, False, True) == 1  # an empty one needs none
+    assert kept(tried(), *[True] * 8) == 3  # and has one itself
+    assert kept(tried(Outcome.FULL, Outcome.FULL), True, True, True, number=1) == 1
+    assert kept(tried(*[Outcome.FULL] * 3), True, True, True, number=1) == 0
--- /dev/null
+++ b/tests/fronts/test_ordinary.py
@@ -0,0 +1,392 @@
+"""Ordinary HTTP clients over loopback sockets: what goes on, what comes back, what is refused."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from standins.web import ERROR, NOT_RUN, OK, Arrival, Line, WebServer, always, slowly
+from tests.daemons import message, run, running
+from tests.net import until
+
+
+def echo(server: WebServer, arrival: Arrival, line: Line) -> bytes:
+    """The target, and the body behind it."""
+    body = arrival.target + b"|" + arrival.body
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+def test_an_answer_comes_back_whole_without_the_headers_of_its_connection(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = WebServer(
+            always(
+                b"HTTP/1.1 418 I'm a Teapot\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\nX-Own: 1\r\n"
+                b'Connection: X-Own\r\nKeep-Alive: timeout=5\r\nETag: "e"\r\n'
+                b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Trailer: 1\r\n\r\n"
+            )
+        )
+        async with running(tmp_path, {"main": [server]}) as it:
+            reply = await it.ask(message("GET /"))
+        assert reply.status == 418 and reply.body == b"abc"
+        assert reply.all("Set-Cookie") == ["a=1", "b=2"] and reply.all("ETag") == ['"e"']
+        for gone in ("X-Own", "Keep-Alive", "Transfer-Encoding", "X-Trailer"):
+            assert not reply.all(gone)
+
+    run(test)
+
+
+def test_a_request_goes_on_with_what_ordinary_clients_send(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = WebServer(echo)
+        async with running(tmp_path, {"main": [server]}, listener='forwarded = "x-forwarded-for"') as it:
+            reply = await it.ask(
+                message(
+                    "POST /buy/%7Ex/../a?q=%2e&r",
+                    "X-Own: 1",
+                    "Connection: X-Own",
+                    "TE: x",
+                    "X-Forwarded-For: 6.6.6.6",
+                    "Cookie: c",
+                    body=b"body",
+                    host="Shop.Example:80",
+                )
+            )
+            kept = await it.ask(message("GET /", "X-Request-Id: mine"))
+        assert reply.body == b"/buy/a?q=%2e&r|body" and kept.status == 200
+        first, second = server.arrivals
+        assert first.all("Host") == [b"Shop.Example:80"] and first.all("Cookie") == [b"c"]
+        assert first.all("X-Forwarded-For") == [b"127.0.0.1"]  # a client's own word is not trusted
+        assert not first.all("X-Own") and not first.all("TE")
+        assert len(first.all("X-Request-Id")[0]) == 32 and second.all("X-Request-Id") == [b"mine"]
+        assert 0 < int(first.all("X-Deadline-Ms")[0]) <= 15_000
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("setting", "name", "value"),
+    [
+        ('forwarded = "x-forwarded-for"\ntrust_forwarded = true', "X-Forwarded-For", b"6.6.6.6, 127.0.0.1"),
+        ('forwarded = "forwarded"', "Forwarded", b'for=127.0.0.1;proto=http;host="shop.example"'),
+        ('forwarded = "off"', "X-Forwarded-For", b"6.6.6.6"),
+    ],
+)
+def test_where_a_request_came_from_is_told_as_set(
+    tmp_path: Path, setting: str, name: str, value: bytes
+) -> None:
+    async def test() -> None:
+        server = WebServer()
+        async with running(tmp_path, {"main": [server]}, listener=setting) as it:
+            await it.ask(message("GET /", "X-Forwarded-For: 6.6.6.6"))
+        assert server.arrivals[0].all(name) == [value]
+
+    run(test)
+
+
+def test_a_client_may_shorten_its_deadline(tmp_path: Path) -> None:
+    def script(server: WebServer, arrival: Arrival, line: Line) -> bytes:
+        return b"" if arrival.target == b"/buy/silent" else OK
+
+    async def test() -> None:
+        server = WebServer(script)
+        async with running(tmp_path, {"main": [server]}) as it:
+            assert (await it.ask(message("POST /buy", "X-Deadline-Ms: 99999999"))).status == 200
+            assert (await it.ask(message("POST /buy", "X-Deadline-Ms: soon"))).status == 400
+            assert (await it.ask(message("POST /buy/silent", "X-Deadline-Ms: 600"))).status == 504
+        longer, shorter = (int(arrival.all("X-Deadline-Ms")[0]) for arrival in server.arrivals)
+        assert 600 < longer <= 15_000 and 0 < shorter <= 600
+
+    run(test)
+
+
+def test_heads_and_answers_without_a_body(tmp_path: Path) -> None:
+    def script(server: WebServer, arrival: Arrival, line: Line) -> bytes:
+        return {
+            b"/304": b"HTTP/1.1 304 Not Modified\r\nETag: x\r\nContent-Length: 9\r\n\r\n",
+            b"/204": b"HTTP/1.1 204 No Content\r\n\r\n",
+            b"/100": b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + OK,
+            b"/head": b"HTTP/1.1 200 OK\r\nContent-Length: 7000000\r\n\r\n",
+        }[arrival.target]
+
+    async def test() -> None:
+        server = WebServer(script)
+        async with running(tmp_path, {"main": [server]}) as it:
+            client = await it.connect()
+            for _ in range(2):  # on one connection: the next answer begins where it should
+                head = await client.ask(message("HEAD /head"))
+                assert head.status == 200 and head.all("Content-Length") == ["7000000"]
+                unchanged = await client.ask(message("GET /304"))
+                assert unchanged.status == 304 and unchanged.all("ETag") == ["x"]
+                empty = await client.ask(message("GET /204"))
+                assert empty.status == 204 and not empty.all("Content-Length")
+                hinted = await client.ask(message("GET /100"))
+                assert hinted.body == b"hello" and not hinted.all("Link")
+            client.close()
+        assert server.connections == 1 and server.count == 8
+
+    run(test)
+
+
+def test_an_answer_may_end_with_its_connection(tmp_path: Path) -> None:
+    async def script(server: WebServer, arrival: Arrival, line: Line) -> bytes:
+        line.write(b"HTTP/1.0 200 OK\r\n\r\nhalf ")
+        await asyncio.sleep(0.02)
+        line.write(b"and half")
+        assert line.transport is not None
+        line.transport.write_eof()
+        return b""
+
+    async def test() -> None:
+        async with running(tmp_path, {"main": [WebServer(script)]}) as it:
+            reply = await it.ask(message("GET /"))
+        assert (reply.status, reply.body) == (200, b"half and half")
+
+    run(test)
+
+
+def test_an_answer_cut_short_or_too_long_is_no_answer(tmp_path: Path) -> None:
+    def script(server: WebServer, arrival: Arrival, line: Line) -> bytes:
+        if arrival.target == b"/buy/long":
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n"
+        line.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+        assert line.transport is not None
+        line.transport.write_eof()
+        return b""
+
+    async def test() -> None:
+        server = WebServer(script)
+        async with running(tmp_path, {"main": [server]}, head='[limits]\nmax_answer = "1KiB"\n') as it:
+            assert (await it.ask(message("POST /buy/cut"))).status == 502
+            assert (await it.ask(message("POST /buy/long"))).status == 502
+        assert server.count == 2
+
+    run(test)
+
+
+def test_http_1_0_keep_alive_and_close(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path, {"main": [WebServer()]}) as it:
+            client = await it.connect()
+            kept = await client.ask(b"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+            assert kept.all("Connection") == ["keep-alive"]
+            last = await client.ask(b"GET / HTTP/1.0\r\n\r\n")
+            assert last.all("Connection") == ["close"] and await client.ended()
+            client = await it.connect()
+            assert (await client.ask(message("GET /", "Connection: close"))).all("Connection") == ["close"]
+            assert await client.ended()
+
+    run(test)
+
+
+def test_pipelined_requests_are_answered_in_their_order(tmp_path: Path) -> None:
+    async def script(server: WebServer, arrival: Arrival, line: Line) -> bytes:
+        await asyncio.sleep(0.03 if arrival.target == b"/buy/0" else 0)
+        return echo(server, arrival, line)
+
+    async def test() -> None:
+        async with running(tmp_path, {"main": [WebServer(script)]}) as it:
+            client = await it.connect()
+            whole = b"".join(message(f"POST /buy/{n}", body=b"%d" % n) for n in range(8))
+            client.writer.write(whole[:-40])
+            await asyncio.sleep(0.01)
+            client.writer.write(whole[-40:])
+            replies = [await client.reply() for _ in range(8)]
+            assert [reply.body for reply in replies] == [b"/buy/%d|%d" % (n, n) for n in range(8)]
+            client.writer.write(message("GET /1") + message("GET /none", host="") + message("GET /2"))
+            assert [(await client.reply()).status for _ in range(3)] == [200, 400, 200]
+            client.writer.write(message("GET /3") + b"noise\r\n\r\n" + message("GET /4"))
+            assert [(await client.reply()).status for _ in range(2)] == [200, 400] and await client.ended()
+
+    run(test)
+
+
+def test_a_body_is_asked_for_when_its_client_waits(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = WebServer(echo)
+        async with running(tmp_path, {"main": [server]}) as it:
+            client = await it.connect()
+            client.writer.write(
+                b"POST /buy HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n"
+            )
+            assert (await client.reply()).status == 100
+            assert (await client.ask(b"abc")).body == b"/buy|abc"
+            assert not server.arrivals[0].all("Expect")
+            too_long = await client.ask(
+                b"POST /buy HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 99999999\r\n\r\n"
+            )
+            assert too_long.status == 413 and await client.ended()
+
+    run(test)
+
+
+def test_a_chunked_request_goes_on_with_a_length(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = WebServer(echo)
+        async with running(tmp_path, {"main": [server]}) as it:
+            reply = await it.ask(
+                b"POST /buy HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"3\r\nabc\r\n0\r\nX-Not-Run: 1\r\n\r\n"
+            )
+        assert reply.body == b"/buy|abc" and server.arrivals[0].all("Content-Length") == [b"3"]
+        assert not server.arrivals[0].all("Transfer-Encoding") and not server.arrivals[0].all("X-Not-Run")
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"POST /buy HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"POST /buy HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
+        b"POST /buy HTTP/1.1\r\nHost: a\r\nContent-Length : 5\r\n\r\nabcde",
+        b"POST /buy HTTP/1.1\r\nHost: a\r\nX: a\r\n b\r\n\r\n",
+        b"POST /buy HTTP/1.1\r\nHost: a\r\nX: a\rb\r\n\r\n",
+    ],
+)
+def test_shapes_that_smuggle_are_refused_and_closed(tmp_path: Path, data: bytes) -> None:
+    async def test() -> None:
+        server = WebServer()
+        async with running(tmp_path, {"main": [server]}) as it:
+            client = await it.connect()
+            assert (await client.ask(data + message("GET /hidden"))).status == 400 and await client.ended()
+        assert server.count == 0
+
+    run(test)
+
+
+def test_hosts_however_they_are_written(tmp_path: Path) -> None:
+    routes = '[[routes]]\nname = "shop"\nhosts = ["shop.example"]\nclass = "read"\npools = ["main"]\n'
+
+    async def test() -> None:
+        server = WebServer()
+        async with running(tmp_path, {"main": [server]}, routes=routes) as it:
+            for host in ("shop.example", "SHOP.Example", "shop.example.", "shop.example:9"):
+                assert (await it.ask(message("GET /", host=host))).status == 200
+            assert (await it.ask(message("GET http://shop.example/", host="other"))).status == 200
+            assert (await it.ask(message("GET /", host="other"))).status == 404
+            assert (await it.ask(message("GET /", host=""))).status == 400
+            assert (await it.ask(message("GET /", "Host: shop.example"))).status == 400
+            assert (await it.ask(b"GET / HTTP/1.0\r\n\r\n")).status == 404
+        assert server.count == 5
+
+    run(test)
+
+
+def test_path_tricks_do_not_pass_a_protected_prefix(tmp_path: Path) -> None:
+    routes = (
+        '[[routes]]\nname = "admin"\npath = "/admin"\nclass = "read"\npools = ["closed"]\n'
+        '[[routes]]\nname = "buy"\npath = "/buy"\nclass = "read"\npools = ["main"]\n'
+    )
+
+    async def test() -> None:
+        server, closed = WebServer(), WebServer()
+        async with running(tmp_path, {"main": [server], "closed": [closed]}, routes=routes) as it:
+            for trick in (
+                "/buy/../admin",
+                "/buy/%2e%2e/admin",
+                "/buy/.%2E//admin/x",
+                "//admin",
+                "/./%61dmin",
+            ):
+                assert (await it.ask(message(f"GET {trick}"))).status == 200
+            for trick in ("/buy/..%2fadmin", "/buy/..;/admin", "/buy/..%5cadmin", "/buy/%00/../admin"):
+                assert (await it.ask(message(f"GET {trick}"))).status == 400
+        assert server.count == 0 and closed.count == 5
+
+    run(test)
+
+
+def test_turned_away_requests_leave_the_connection_to_the_next(tmp_path: Path) -> None:
+    routes = '[[routes]]\nname = "m"\npath = "/mark"\nmethods = ["POST"]\nclass = "mark"\npools = ["main"]\n'
+
+    async def test() -> None:
+        server = WebServer()
+        async with running(tmp_path, {"main": [server]}, routes=routes) as it:
+            client = await it.connect()
+            assert (await client.ask(message("GET /nowhere"))).status == 404
+            refused = await client.ask(message("PUT /mark"))
+            assert refused.status == 405 and refused.all("Allow") == ["POST"]
+            assert (await client.ask(message("POST /mark"))).status == 400  # no key
+            assert (await client.ask(message("POST /mark", "Idempotency-Key: k"))).status == 200
+            client.close()
+        assert server.count == 1 and server.arrivals[0].all("Idempotency-Key") == [b"k"]
+
+    run(test)
+
+
+def test_a_servers_own_error_comes_back_but_never_as_leave_to_repeat(tmp_path: Path) -> None:
+    busy = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 4\r\n\r\nbusy"
+
+    async def test() -> None:
+        failing, full = WebServer(always(ERROR)), WebServer(always(busy))
+        routes = "".join(
+            f'[[routes]]\nname = "{kind}-{pool}"\npath = "/{pool}/{kind}"\nclass = "{kind}"\n'
+            f'pools = ["{pool}"]\n'
+            for kind in ("read", "buy")
+            for pool in ("failing", "full")
+        )
+        async with running(tmp_path, {"failing": [failing], "full": [full]}, routes=routes) as it:
+            error = await it.ask(message("POST /failing/buy"))
+            assert (error.status, error.body) == (500, b"oops\n") and failing.count == 1
+            assert (await it.ask(message("GET /failing/read"))).status == 500
+            refused = await it.ask(message("POST /full/buy"))
+            assert refused.status == 502 and not refused.all("Retry-After") and full.count == 1
+            assert (await it.ask(message("GET /full/read"))).status == 503
+
+    run(test)
+
+
+def test_what_never_ran_is_refused_with_a_time_to_come_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = WebServer(always(NOT_RUN))
+        async with running(tmp_path, {"main": [server]}) as it:
+            reply = await it.ask(message("POST /buy"))
+        assert reply.status == 503 and int(reply.all("Retry-After")[0]) >= 1 and not reply.all("X-Not-Run")
+
+    run(test)
+
+
+def test_a_client_that_does_not_read_takes_no_more_than_its_bound(tmp_path: Path) -> None:
+    body = b"x" * 4_000_000
+    big = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+    async def test() -> None:
+        server = WebServer(always(big), keep=False)
+        async with running(tmp_path, {"main": [server]}) as it:
+            client = await it.connect()
+            client.writer.write(message("GET /") * 10)
+            await until(lambda: server.count >= 1)
+            await asyncio.sleep(0.3)
+            assert server.count <= 3  # what fits into the sockets' own buffers
+            for _ in range(10):
+                assert len((await client.reply()).body) == len(body)
+            client.close()
+
+    run(test)
+
+
+def test_a_slow_answer_outlives_the_wait_of_a_connection_that_ends(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = WebServer(slowly(OK, 0.1))
+        async with running(tmp_path, {"main": [server]}, listener='idle_timeout = "50ms"') as it:
+            assert (await it.ask(message("GET /"))).status == 200
+            client = await it.connect()
+            client.writer.write(b"GET / HTTP/1.1\r\nHost")
+            assert (await client.ask(b": a\r\n\r\n")).status == 200
+            assert await client.ended()  # idle for longer than it may be
+
+    run(test)
+
+
+def test_half_a_request_is_answered_408(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path, {"main": [WebServer()]}, listener='read_timeout = "200ms"') as it:
+            client = await it.connect()
+            assert (
+                await client.ask(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf")
+            ).status == 408
+            assert await client.ended()
+
+    run(test)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import time
 import tomllib
 from collections.abc import Iterator
@@ -144,3 +145,15 @@
     with program(configuration(tmp_path, **changes)) as process:
         _, errors = process.communicate(timeout=PATIENCE_S)
         assert process.returncode == 2 and len(errors.splitlines()) == 1
+
+
+def test_a_start_under_the_platforms_configuration_loads_only_what_it_needs(tmp_path: Path) -> None:
+    code = "import sys, plovertrail.__main__; print(*sys.modules)"
+    found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True,
+                           timeout=60).stdout.split()
+    assert "plovertrail.fronts.application" in found
+    tops = {name.split(".")[0] for name in found}
+    assert not tops & {"re2", "msgspec", "click", "tomllib", "standins", "simulator", "http.client"}
+    unwanted = ("plovertrail.cli", "plovertrail.daemon", "plovertrail.config.operator",
+                "plovertrail.fronts.ordinary", "plovertrail.decisions.routes")
+    assert not [name for name in found if name.startswith(unwanted)]
