--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -98,12 +98,13 @@
         return (mine.settings == config.settings and mine.idle_us == config.idle_us
                 and mine.max_connections == config.max_connections and self.max_answer == max_answer)
 
-    def follow(self, host: Host, config: operator.Pool, came_us: dict[Key, int], again: bool) -> None:
-        """Take the list of servers; `again`: this pool takes the place of one that served them."""
+    def follow(self, host: Host, config: operator.Pool, came_us: dict[Key, int], known: bool) -> None:
+        """Take the list of servers; `known`: they run and are known to bear load, as at the daemon's start or
+        where this pool takes the place of one that served them."""
         self.config = config
         entries, addresses = self.members.entries(config.servers, came_us)
         # hazard: a pool that starts anew under load would open its slots one answer at a time
-        kind = ListKind.CACHED if again else ListKind.FULL
+        kind = ListKind.CACHED if known else ListKind.FULL
         host.list_changed(self.pool, UpstreamsUpdated(kind, entries), addresses)
 
     def retire(self, host: Host) -> None:
@@ -141,6 +142,7 @@
         sockets = self._bind(setup)
         # from here on nothing fails
         self.came_us = self._arrivals(setup)
+        running = bool(self.pools)
         before, self.pools = self.pools, {}
         replaced = []
         for name, config in setup.pools.items():
@@ -151,7 +153,8 @@
                 pool = RunningPool(self.host, config, setup.limits.max_answer, members, self.seeds())
                 if old is not None:
                     replaced.append(old)
-            pool.follow(self.host, config, self.came_us, again=old is not None and pool is not old)
+            known = not running or (old is not None and pool is not old)
+            pool.follow(self.host, config, self.came_us, known)
             self.pools[name] = pool
         pools: dict[str, ServerPool] = {name: pool.pool for name, pool in self.pools.items()}
         self.current.generation = make_generation(self.generation.number + 1, setup, pools)
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -356,12 +356,14 @@
         """The upstreams with a slot free for it, each with its slots, which count less where it is slow."""
         tried = [attempt.server for attempt in request.attempts]
         index = request.event.class_index
+        by_weight, first = self.settings.draw_by_weight, request.first_that_may_have_run()
         found = []
         for server in servers:
             slots = self.open_slots(server) - server.used
-            rests = self.now_us < server.mute_until_us[index] and some_rest
-            if slots > 0 and not rests and self.in_group(request, server):
-                size = server.entry.weight if self.settings.draw_by_weight else 1.0
+            if slots <= 0 or (some_rest and self.now_us < server.mute_until_us[index]):
+                continue
+            if first is None or self.in_group(request, first, server):
+                size = server.entry.weight if by_weight else 1.0
                 share = slots * size / (server.pace * (1.0 + server.silence[index] / SILENCE_BORNE)) ** 2
                 found.append((server, share))
         return [pair for pair in found if pair[0] not in tried] or found
@@ -379,10 +381,10 @@
             return True
         return kind.effect == "deduplicated" and self.now_us - first.sent_us < kind.memory_us
 
-    def in_group(self, request: Request, server: Server) -> bool:
+    def in_group(self, request: Request, first: Attempt, server: Server) -> bool:
         """Rule 2: after a keyed attempt that may have run, only upstreams that drop its repeats."""
-        first, kind = request.first_that_may_have_run(), self.class_of(request)
-        if first is None or kind.effect != "deduplicated" or kind.group == "all":
+        kind = self.class_of(request)
+        if kind.effect != "deduplicated" or kind.group == "all":
             return True
         if kind.group == "zone":
             return first.entry.zone == server.entry.zone
--- a/plovertrail/decisions/paths.py
+++ b/plovertrail/decisions/paths.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import functools
 import re
 
 UNRESERVED = frozenset(b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
@@ -93,6 +94,7 @@
     return host, path, query
 
 
+@functools.lru_cache(maxsize=1024)
 def normalise_host(raw: bytes) -> str:
     """Lower case, with no port and no dot at its end; raises BadTarget on what is no host."""
     text = raw.decode("latin-1").strip(" \t").lower()
--- a/plovertrail/http1/requests.py
+++ b/plovertrail/http1/requests.py
@@ -10,6 +10,7 @@
 
 MOST_PIPELINED = 16  # requests of one connection that wait for the one that is open
 MOST_HEADERS = 100
+CHECKED = frozenset((b"content-length", b"transfer-encoding", b"expect"))
 VALUE = re.compile(rb"[\t -~\x80-\xff]*")  # RFC 9110, section 5.5
 
 
@@ -51,6 +52,7 @@
     def _begin(self) -> None:
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
+        self._framing: list[bytes] = []  # the headers that tell how long the body is
         self._body = bytearray()
         self._size = 0  # bytes of the message so far, as far as whole reads tell
         self._partial = False
@@ -111,7 +113,12 @@
         value = value.strip(b" \t")
         if not VALUE.fullmatch(value):
             raise Malformed(400, "a header's value is not text")
+        self._headers.append((name, value))
         plain = name.lower()
+        if plain not in CHECKED:
+            return
+        if plain != b"expect":
+            self._framing.append(plain)
         if plain == b"content-length":
             if not value.isdigit() or len(value) > 15:
                 raise Malformed(400, "Content-Length is no whole number")
@@ -123,7 +130,6 @@
             if value.lower() != b"100-continue":
                 raise Malformed(417, "an Expect other than 100-continue")
             self.continue_wanted = True
-        self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         assert self._parser is not None
@@ -134,9 +140,7 @@
         version = self._parser.get_http_version()
         if version not in ("1.0", "1.1"):
             raise Malformed(505, "not HTTP/1.1")
-        names = [name.lower() for name, _ in self._headers]
-        if b"transfer-encoding" in names and (version == "1.0" or names.count(b"transfer-encoding") > 1
-                                              or b"content-length" in names):
+        if len(self._framing) > 1 or (version == "1.0" and b"transfer-encoding" in self._framing):
             # hazard: who goes by one of them and who by the other see the next request begin elsewhere
             raise Malformed(400, "a body with two lengths")
         if version == "1.0":
