--- a/plovertrail/cli/check.py
+++ b/plovertrail/cli/check.py
@@ -5,7 +5,7 @@
 import click
 
 from plovertrail.cli.files import load_or_exit
-from plovertrail.daemon import needed_descriptors
+from plovertrail.daemon import needed_descriptors, needed_memory
 
 
 @click.command()
@@ -17,7 +17,8 @@
     servers = sum(len(pool.servers) for pool in setup.pools.values())
     click.echo(f"{file}: good: {len(setup.listeners)} listeners, {len(setup.routes.routes)} routes, "
                f"{len(setup.pools)} pools with {servers} servers, {len(setup.classes)} classes; "
-               f"at most {needed_descriptors(setup)} descriptors")
+               f"at most {needed_descriptors(setup)} descriptors, "
+               f"{needed_memory(setup) >> 20} MiB of messages")
     for name, pool in setup.pools.items():
         if not any(not server.drain for server in pool.servers):
             click.echo(f"note: pools.{name} has no server that takes requests: it refuses all")
--- a/plovertrail/config/operator.py
+++ b/plovertrail/config/operator.py
@@ -49,7 +49,7 @@
 class LimitsTable(msgspec.Struct, kw_only=True):
     max_head: str = "16KiB"
     max_body: str = "1MiB"
-    max_answer: str = "8MiB"
+    max_answer: str = "1MiB"
     instances: Whole = 1
     zone: str = ""
 
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -26,6 +26,7 @@
 STOP_READING_S = 5.0  # after SIGTERM, for a request that has come in part
 STOP_SLACK_S = 1.0
 BACKLOG = 1024
+PIPELINED = 64 * 1024 + 256 * 1024  # where reading stops, and the loop's last read
 
 
 def needed_descriptors(setup: operator.Setup) -> int:
@@ -34,6 +35,15 @@
     return listeners + sum(pool.max_connections for pool in setup.pools.values()) + OTHER_DESCRIPTORS
 
 
+def needed_memory(setup: operator.Setup) -> int:
+    """The most bytes that messages may hold at once: each client's request as it comes, once more as it goes
+    on, what is pipelined behind it and an answer that it doesn't read; each server's answer as it comes."""
+    limits = setup.limits
+    client = limits.max_head + 2 * limits.max_body + PIPELINED + limits.max_answer
+    clients = sum(listener.max_connections for listener in setup.listeners)
+    return clients * client + sum(pool.max_connections for pool in setup.pools.values()) * limits.max_answer
+
+
 def check_descriptors(setup: operator.Setup) -> None:
     """Raise the process's own limit as far as needed; raises ConfigError if it can't be."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
--- /dev/null
+++ b/tests/benchmarks/test_short_forms.py
@@ -0,0 +1,34 @@
+"""Each benchmark runs in its short form and ends with its figures as JSON. No speed is asserted."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from benchmarks.report import Bar, close
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+@pytest.mark.parametrize(("name", "short", "figure"), [("routes", ("--seconds", "0.5"), "prefixes")])
+def test_a_benchmark_prints_its_figures_and_bars(name: str, short: tuple[str, ...], figure: str) -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", f"benchmarks.{name}", *short],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
+    told = json.loads(done.stdout.splitlines()[-1])
+    assert told["benchmark"] == name and figure in told["figures"] and told["bars"]
+    assert done.returncode == int(not all(bar["held"] for bar in told["bars"].values()))
+
+
+def test_a_missed_bar_is_told_and_ends_with_1(capsys: pytest.CaptureFixture[str]) -> None:
+    assert close("x", {}, [Bar("a", 1.0, 2.0)]) == 0
+    assert close("x", {}, [Bar("a", 1.0, 2.0), Bar("b", 3.0, 2.0)]) == 1
+    assert "MISSED: b 3.00, at most 2" in capsys.readouterr().out
--- /dev/null
+++ b/tests/config/test_docs.py
@@ -0,0 +1,35 @@
+"""The operator's page has every key of the file, and no other."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from plovertrail.config import operator
+
+PAGE = (Path(__file__).resolve().parents[2] / "docs" / "operator.md").read_text()
+SECTIONS: dict[str, type[msgspec.Struct]] = {
+    "[limits]": operator.LimitsTable,
+    "[listeners.NAME]": operator.ListenerTable,
+    "[classes.NAME]": operator.ClassTable,
+    "[pools.NAME]": operator.PoolTable,
+    "[[routes]]": operator.RouteTableRow,
+}
+
+
+@pytest.mark.parametrize("name", SECTIONS)
+def test_every_key_is_on_the_page_with_its_default(name: str) -> None:
+    text = PAGE.split(f"## `{name}`")[1].split("\n## ")[0]
+    rows = [line.split("|") for line in text.splitlines() if line.startswith("| `")]
+    told = {key.split(".")[0]: row[2] for row in rows for key in re.findall(r"`([a-z_]+)[.`]", row[1])}
+    fields = msgspec.structs.fields(SECTIONS[name])
+    assert set(told) == {field.encode_name for field in fields}
+    for field in fields:
+        default = field.default
+        if isinstance(default, str) and default:
+            assert f'"{default}"' in told[field.encode_name], field.name
+        elif isinstance(default, float | int) and not isinstance(default, bool):
+            assert re.search(rf"\b{default:g}\b", told[field.encode_name]), field.name
