--- a/plovertrail/cli/__init__.py
+++ b/plovertrail/cli/__init__.py
@@ -5,8 +5,10 @@
 import click
 
 from plovertrail.cli.check import check
+from plovertrail.cli.control import drain, status, undrain
 from plovertrail.cli.demo import demo
 from plovertrail.cli.route import route
+from plovertrail.cli.seal import seal
 from plovertrail.cli.serve import serve
 
 
@@ -15,5 +17,5 @@
     """A balancer that keeps its rules when things break."""
 
 
-for command in (serve, check, route, demo):
+for command in (serve, check, route, status, drain, undrain, seal, demo):
     main.add_command(command)
--- /dev/null
+++ b/plovertrail/cli/control.py
@@ -0,0 +1,74 @@
+"""`plovertrail status`, `drain` and `undrain`: over the control socket of a running daemon."""
+
+from __future__ import annotations
+
+import json
+import socket
+import sys
+from typing import Any
+
+import click
+
+SOCKET = click.option("--socket", "path", envvar="PLOVERTRAIL_SOCKET", required=True,
+                      help="control_socket of the daemon's file; or in PLOVERTRAIL_SOCKET.")
+PATIENCE_S = 5.0
+LONGEST_ANSWER = 64 << 20
+
+
+def ask(path: str, **what: str) -> dict[str, Any]:
+    """One call; prints what went wrong and exits with 1."""
+    try:
+        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
+            sock.settimeout(PATIENCE_S)
+            sock.connect(path)
+            sock.sendall(json.dumps(what).encode() + b"\n")
+            with sock.makefile("rb") as file:
+                answer: dict[str, Any] = json.loads(file.readline(LONGEST_ANSWER))
+    except (OSError, ValueError) as error:
+        click.echo(f"no daemon answers on {path}: {error}", err=True)
+        sys.exit(1)
+    if not answer.get("ok"):
+        click.echo(answer.get("error", "it failed"), err=True)
+        sys.exit(1)
+    return answer
+
+
+@click.command()
+@click.argument("pool")
+@click.argument("server")
+@SOCKET
+def drain(pool: str, server: str, path: str) -> None:
+    """Send SERVER of POOL nothing new, from now on and through restarts, whatever its sources say."""
+    ask(path, do="drain", pool=pool, server=server)
+    click.echo(f"{pool} {server}: drains; nothing new is sent to it")
+
+
+@click.command()
+@click.argument("pool")
+@click.argument("server")
+@SOCKET
+def undrain(pool: str, server: str, path: str) -> None:
+    """End a drain by hand; where a source drains the server, it drains on."""
+    ask(path, do="undrain", pool=pool, server=server)
+    click.echo(f"{pool} {server}: drained by hand no more")
+
+
+@click.command()
+@SOCKET
+@click.option("--json", "as_json", is_flag=True, help="All of it, as JSON.")
+def status(path: str, as_json: bool) -> None:
+    """Say what is in force; exits with 3 while something is wrong with a list."""
+    found = ask(path, do="status")["status"]
+    if as_json:
+        click.echo(json.dumps(found, indent=1))
+    else:
+        click.echo(f"{found['file']}: generation {found['generation']}, {found['connections']} connections, "
+                   f"{found['requests']} requests open, state file: {found['state_file']}")
+        for name, pool in found["pools"].items():
+            click.echo(f"{name}: generation {pool['generation']}, {len(pool['servers'])} servers")
+            for told in pool["problems"]:
+                click.echo(f"  ! {told}")
+            for server in pool["servers"]:
+                click.echo(f"  {server['id']} {server['address']} {server['state']}, {server['open']} open")
+    if any(pool["problems"] for pool in found["pools"].values()):
+        sys.exit(3)
--- /dev/null
+++ b/plovertrail/cli/seal.py
@@ -0,0 +1,27 @@
+"""`plovertrail seal FILE`"""
+
+from __future__ import annotations
+
+import os
+import sys
+
+import click
+
+from plovertrail.sources.files import read_bounded
+from plovertrail.sources.lists import BadList, sealed
+from plovertrail.sources.state_file import write
+
+
+@click.command()
+@click.argument("file", type=click.Path(dir_okay=False, exists=True))
+def seal(file: str) -> None:
+    """Check a list of servers, and put its checksum into it: in one rename, so that no daemon sees half of
+    it. Exits with 2 if it is no list."""
+    try:
+        data, _, _ = read_bounded(file)
+        whole = sealed(os.path.basename(file), data)
+        write(os.path.realpath(file), whole)
+    except (BadList, OSError) as error:
+        click.echo(f"{file}: {error}", err=True)
+        sys.exit(2)
+    click.echo(f"{file}: sealed")
--- a/plovertrail/cli/serve.py
+++ b/plovertrail/cli/serve.py
@@ -22,6 +22,6 @@
     log_to_stderr()
     try:
         asyncio.run(daemon.serve(setup))
-    except ConfigError as error:
+    except (ConfigError, OSError) as error:
         click.echo(str(error), err=True)
         sys.exit(2)
--- a/plovertrail/config/operator.py
+++ b/plovertrail/config/operator.py
@@ -19,6 +19,7 @@
 from plovertrail.config.problems import ConfigError, Problem, did_you_mean
 from plovertrail.config.tables import duration_us, key_path, read_table, size_bytes
 from plovertrail.decisions.interface import RequestClass, Settings, Tenant
+from plovertrail.decisions.membership import Entry, Guards
 from plovertrail.decisions.paths import BadTarget, normalise_host, normalise_path
 from plovertrail.decisions.routes import (
     SAFE_METHODS,
@@ -95,8 +96,19 @@
     drain: bool = False
 
 
+class GuardsTable(msgspec.Struct, kw_only=True):
+    allow_empty: bool = False
+    most_dropped: Share = 0.5
+    judged_from: Whole = 4
+    zones: list[str] = []
+    damping: bool = True
+
+
 class PoolTable(msgspec.Struct, kw_only=True):
-    servers: list[Any]
+    servers: list[Any] = []
+    servers_from: list[str] = []
+    whole: Literal["checksum", "settled"] = "checksum"
+    guards: dict[str, Any] = {}
     attempts: Annotated[int, msgspec.Meta(ge=1, le=10)] = 3
     connect_timeout: str = "500ms"
     idle_timeout: str = "4s"
@@ -130,6 +142,11 @@
     tenant: str | None = None
 
 
+class DaemonTable(msgspec.Struct, kw_only=True):
+    state_file: str = ""
+    control_socket: str = ""
+
+
 class FileTable(msgspec.Struct, kw_only=True):
     listeners: dict[str, Any]
     pools: dict[str, Any]
@@ -137,6 +154,7 @@
     routes: list[Any]
     limits: dict[str, Any] = {}
     tenants: dict[str, Any] = {}
+    daemon: dict[str, Any] = {}
 
 
 # What the daemon is built from
@@ -164,25 +182,17 @@
     deadline_header: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class ServerEntry:
-    """A server of a pool's list."""
-
-    id: str
-    address: tuple[str, int]
-    zone: int
-    cell: int
-    weight: float
-    drain: bool
-
-
 @dataclass(frozen=True, slots=True)
 class Pool:
     name: str
     settings: Settings
     idle_us: int
     max_connections: int
-    servers: tuple[ServerEntry, ...]
+    servers: tuple[Entry, ...]
+    home_zone: str
+    files: tuple[str, ...]  # paths of further lists, the one that wins first
+    checksum: bool  # these must carry one
+    guards: Guards
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,6 +207,8 @@
     key_headers: tuple[bytes, ...]  # of each class; empty where it has none
     tenants: tuple[Tenant, ...]
     routes: RouteTable
+    state_file: str  # empty: none
+    control_socket: str
 
     def class_index(self, name: str) -> int:
         return next(i for i, kind in enumerate(self.classes) if kind.name == name)
@@ -205,16 +217,6 @@
 EFFECTS = {"safe": "idempotent", "keyed": "deduplicated", "unsafe": "at_most_once"}
 
 
-class Numbers:
-    """A small number for each name, as the decisions compare zones and cells by number."""
-
-    def __init__(self) -> None:
-        self.known: dict[str, int] = {}
-
-    def of(self, name: str) -> int:
-        return self.known.setdefault(name, len(self.known))
-
-
 def load(path: str) -> Setup:
     """Read and check a file; raises ConfigError."""
     try:
@@ -250,7 +252,6 @@
     def __init__(self, path: str, problems: list[Problem]) -> None:
         self.path = path
         self.problems = problems
-        self.zones, self.cells = Numbers(), Numbers()
 
     def wrong(self, place: str, what: str, instead: str = "") -> None:
         self.problems.append(Problem(place, what, instead))
@@ -260,6 +261,7 @@
         if whole is None:
             # read on with what there is, so that all problems are told at once
             parts: dict[str, Any] = {"listeners": {}, "pools": {}, "classes": {}, "limits": {}, "tenants": {},
+                                     "daemon": {},
                                      "routes": []}
             parts |= {key: item for key, item in raw.items() if type(item) is type(parts.get(key))}
             whole = FileTable(**parts)
@@ -267,7 +269,8 @@
         tenants = self.tenants(whole.tenants)
         classes, key_headers = self.classes(whole.classes)
         listeners = self.listeners(whole.listeners)
-        home = self.zones.of(str(whole.limits.get("zone", "")))
+        home = str(whole.limits.get("zone", ""))
+        daemon = read_table(DaemonTable, whole.daemon, "daemon", self.problems) or DaemonTable()
         pools = {name: pool for name, item in whole.pools.items()
                  if (pool := self.pool(name, item, classes, tenants, instances, home)) is not None}
         routes = self.routes(whole.routes, classes, whole)
@@ -278,7 +281,7 @@
         if self.problems:
             return None
         return Setup(self.path, limits, tuple(listeners), pools, tuple(classes.values()), key_headers,
-                     tuple(tenants), RouteTable(routes))
+                     tuple(tenants), RouteTable(routes), daemon.state_file, daemon.control_socket)
 
     def name(self, name: str, place: str) -> None:
         if not NAME.fullmatch(name):
@@ -387,7 +390,7 @@
         return found
 
     def pool(self, name: str, raw: object, classes: Mapping[str, RequestClass], tenants: list[Tenant],
-             instances: int, home: int) -> Pool | None:
+             instances: int, home: str) -> Pool | None:
         place = key_path("pools", name)
         self.name(name, place)
         table = read_table(PoolTable, raw, place, self.problems)
@@ -406,15 +409,23 @@
         def time(key: str, least_us: int = 1) -> int:
             return duration_us(getattr(table, key), f"{place}.{key}", self.problems, least_us)
 
+        if "servers" not in raw and not table.servers_from:  # type: ignore[operator]
+            self.wrong(place, "it has no servers", "write servers = [...] or servers_from = [\"FILE\"]")
+        if len(set(table.servers_from)) < len(table.servers_from) or "" in table.servers_from:
+            self.wrong(f"{place}.servers_from", "a path is empty or named twice", "name each file once")
+        bounds = read_table(GuardsTable, table.guards, f"{place}.guards", self.problems) or GuardsTable()
+        guards = Guards(bounds.allow_empty, bounds.most_dropped, bounds.judged_from,
+                        zones=frozenset(bounds.zones), damping=bounds.damping)
         servers = self.servers(table.servers, place)
         settings = Settings(
             classes=list(own.values()) or [RequestClass("none", 1, 1)], tenants=tenants, instances=instances,
-            zone=home, max_attempts=table.attempts, max_retry_after_us=time("retry_after"),
+            zone=0, max_attempts=table.attempts, max_retry_after_us=time("retry_after"),
             connect_timeout_us=time("connect_timeout"), cancel=True, second_copies=table.second_copies,
             cold_share=table.cold_share, warm_up_us=time("warm_up", 0),
             overload_factor=table.overload_factor, fall_us=time("fall", 0),
             cross_zone_fee=table.cross_zone_cost, weighted=True, draw_by_weight=True)
-        return Pool(name, settings, time("idle_timeout", 0), table.max_connections, servers)
+        return Pool(name, settings, time("idle_timeout", 0), table.max_connections, servers, home,
+                    tuple(table.servers_from), table.whole == "checksum", guards)
 
     def overridden(self, kind: RequestClass, changes: OverrideTable, place: str) -> RequestClass:
         aim_us = kind.aim_us
@@ -428,7 +439,7 @@
             kind.late_worth if changes.late_worth is None else changes.late_worth, effect=kind.effect,
             group=kind.group, memory_us=kind.memory_us)
 
-    def servers(self, raw: list[Any], place: str) -> tuple[ServerEntry, ...]:
+    def servers(self, raw: list[Any], place: str) -> tuple[Entry, ...]:
         found = []
         ids: dict[str, int] = {}
         addresses: dict[tuple[str, int], int] = {}
@@ -446,8 +457,7 @@
                 self.wrong(f"{at}.address", f"{place}.servers[{addresses[address]}] has this address as well",
                            "write another one: one server under two names gets twice its share")
             ids[table.id] = addresses[address] = number
-            found.append(ServerEntry(table.id, address, self.zones.of(table.zone), self.cells.of(table.cell),
-                                     table.weight, table.drain))
+            found.append(Entry(table.id, address, table.zone, table.cell, table.weight, table.drain))
         return tuple(found)
 
     def routes(self, raw: list[Any], classes: Mapping[str, RequestClass], whole: FileTable) -> list[Route]:
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -9,14 +9,19 @@
 import signal
 import socket
 from collections.abc import Callable
+from functools import partial
+from typing import Any
 
-from plovertrail.clock import clock_us
 from plovertrail.config import operator
 from plovertrail.config.problems import ConfigError, Problem
-from plovertrail.decisions.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
+from plovertrail.control import ControlSocket
+from plovertrail.decisions.membership import State
 from plovertrail.fronts.ordinary import OrdinaryFront
 from plovertrail.generation import Current, Generation, make_generation
 from plovertrail.host import Host, ServerPool
+from plovertrail.roster import Roster
+from plovertrail.sources.files import FileSource
+from plovertrail.state_keeper import StateKeeper
 from plovertrail.upstreams.connections import AnswerRules, ConnectionPool
 
 log = logging.getLogger(__name__)
@@ -61,61 +66,25 @@
     return int.from_bytes(os.urandom(8))
 
 
-Key = tuple[str, tuple[str, int]]  # a server's id and address
-
-
-class Members:
-    """The servers of one pool by the numbers that its module knows them by. Hazard: a server at another
-    address is another one, and what was learnt of the old one is forgotten with its number."""
-
-    def __init__(self) -> None:
-        self.numbers: dict[Key, int] = {}
-        self.last = 0
-
-    def entries(self, servers: tuple[operator.ServerEntry, ...],
-                came_us: dict[Key, int]) -> tuple[list[Upstream], dict[int, tuple[str, int]]]:
-        """The whole list, and the addresses in it; `came_us` tells when each server came, 0 for long ago."""
-        before, self.numbers = self.numbers, {}
-        entries, addresses = [], {}
-        for server in servers:
-            key = server.id, server.address
-            if key not in before:
-                self.last += 1
-            ident = self.numbers[key] = before.get(key, self.last)
-            state = UpstreamState.DRAINING if server.drain else UpstreamState.READY
-            entries.append(Upstream(ident, state, server.zone, 0, server.cell, server.weight, came_us[key]))
-            addresses[ident] = server.address
-        return entries, addresses
-
-
 class RunningPool:
     """A pool in force: what was configured, its place in the host, and its connections."""
 
-    def __init__(self, host: Host, config: operator.Pool, max_answer: int, members: Members,
-                 seed: int) -> None:
+    def __init__(self, host: Host, config: operator.Pool, max_answer: int, roster: Roster, seed: int) -> None:
         self.config = config
         self.max_answer = max_answer
-        self.members = members
+        self.roster = roster
         self.connections = ConnectionPool(
             config.idle_us, config.settings.connect_timeout_us, most=config.max_connections,
             rules=AnswerRules(max_answer, FAULTS, until_close=True))
         self.pool = host.add_pool(config.name, config.settings, seed, self.connections)
 
     def fits(self, config: operator.Pool, max_answer: int) -> bool:
-        """Whether it can go on under a new setup, with another list at most. Hazard: classes are known by
+        """Whether it can go on under a new setup, with other lists at most. Hazard: classes are known by
         their number, and requests that are open would be taken for those of another class."""
         mine = self.config
         return (mine.settings == config.settings and mine.idle_us == config.idle_us
-                and mine.max_connections == config.max_connections and self.max_answer == max_answer)
-
-    def follow(self, host: Host, config: operator.Pool, came_us: dict[Key, int], known: bool) -> None:
-        """Take the list of servers; `known`: they run and are known to bear load, as at the daemon's start or
-        where this pool takes the place of one that served them."""
-        self.config = config
-        entries, addresses = self.members.entries(config.servers, came_us)
-        # hazard: a pool that starts anew under load would open its slots one answer at a time
-        kind = ListKind.CACHED if known else ListKind.FULL
-        host.list_changed(self.pool, UpstreamsUpdated(kind, entries), addresses)
+                and mine.max_connections == config.max_connections and self.max_answer == max_answer
+                and mine.home_zone == config.home_zone)
 
     def retire(self, host: Host) -> None:
         host.retire(self.pool)
@@ -132,8 +101,10 @@
         self.seeds = seeds
         self.host = Host()
         self.pools: dict[str, RunningPool] = {}
-        self.came_us: dict[Key, int] = {}
+        self.keeper = StateKeeper(setup.state_file)
+        self.kept = self.keeper.read()  # as it was when the last daemon ended; each pool takes its own once
         self.fronts: dict[str, OrdinaryFront] = {}
+        self.control = ControlSocket(self, setup.control_socket)
         self.closing: list[OrdinaryFront] = []  # their addresses are configured no more
         self.current = Current(Generation(0, setup, {}, {}, {}))
         self.apply(setup)
@@ -151,33 +122,46 @@
         check_descriptors(setup)
         sockets = self._bind(setup)
         # from here on nothing fails
-        self.came_us = self._arrivals(setup)
-        running = bool(self.pools)
+        starting = not self.pools
         before, self.pools = self.pools, {}
         replaced = []
         for name, config in setup.pools.items():
             old = before.pop(name, None)
+            roster = old.roster if old is not None else self._roster(name)
+            sources = [FileSource(path, config.checksum) for path in config.files]
             pool = old
             if pool is None or not pool.fits(config, setup.limits.max_answer):
-                members = pool.members if pool is not None else Members()
-                pool = RunningPool(self.host, config, setup.limits.max_answer, members, self.seeds())
                 if old is not None:
                     replaced.append(old)
-            known = not running or (old is not None and pool is not old)
-            pool.follow(self.host, config, self.came_us, known)
+                roster.pool = None
+                roster.configure(config.servers, sources, config.guards, config.home_zone, starting)
+                pool = RunningPool(self.host, config, setup.limits.max_answer, roster, self.seeds())
+                roster.attach(pool.pool)
+            else:
+                pool.config = config
+                roster.configure(config.servers, sources, config.guards, config.home_zone, starting)
             self.pools[name] = pool
         pools: dict[str, ServerPool] = {name: pool.pool for name, pool in self.pools.items()}
         self.current.generation = make_generation(self.generation.number + 1, setup, pools)
         self._move_listeners(setup, sockets)
         for gone in [*before.values(), *replaced]:
             gone.retire(self.host)
+        for gone in before.values():
+            gone.roster.stop()
+        self._list_changed()
 
-    def _arrivals(self, setup: operator.Setup) -> dict[Key, int]:
-        """When each server came. One that comes to a running daemon, or to another address, is cold from then
-        on (rule 4); those of the first setup, and those that another pool had, are not."""
-        now_us = clock_us() if self.pools else 0
-        servers = [server for pool in setup.pools.values() for server in pool.servers]
-        return {(s.id, s.address): self.came_us.get((s.id, s.address), now_us) for s in servers}
+    def _roster(self, name: str) -> Roster:
+        state = self.kept.pop(name, None) or State(started=bool(self.generation.number))
+        return Roster(name, self.host, state, partial(self._elsewhere, name), self._list_changed)
+
+    def _elsewhere(self, name: str) -> dict[tuple[str, tuple[str, int]], int]:
+        """Since when the servers of other pools are known: one that another pool has is no newcomer here."""
+        return {(ident, member.entry.address): member.came_us
+                for other, pool in list(self.pools.items()) if other != name
+                for ident, member in pool.roster.state.members.items()}
+
+    def _list_changed(self) -> None:
+        self.keeper.keep(lambda: {name: pool.roster.state for name, pool in self.pools.items()})
 
     def _bind(self, setup: operator.Setup) -> dict[str, socket.socket]:
         """The sockets of the listeners that are new or have moved."""
@@ -232,6 +216,37 @@
         log.info("generation %d is in force: %s", self.generation.number, path)
         return True
 
+    def drain(self, pool: str, server: str, drain: bool) -> str:
+        """Drain a server by hand, or end that; returns what is wrong, or nothing."""
+        if pool not in self.pools:
+            return f'no pool is called "{pool}"'
+        roster = self.pools[pool].roster
+        if drain and server not in roster.state.members:
+            return f'pool "{pool}" has no server "{server}"'
+        roster.drain(server, drain)
+        return ""
+
+    def status(self) -> dict[str, Any]:
+        """What is in force, for operators."""
+        pools = {}
+        for name, running in self.pools.items():
+            state = running.roster.state
+            used = {number: server.used for number, server in running.pool.balancer.servers.items()}
+            pools[name] = {
+                "generation": state.generation, "drained_by_hand": sorted(state.by_hand),
+                "held_back": sorted(state.held), "problems": list(running.roster.loud()),
+                "sources": {layer.source: {"servers": len(layer.entries), "version": layer.version}
+                            for layer in state.layers},
+                "leaving": [member.entry.id for member, _ in state.leaving.values()],
+                "servers": [{"id": ident, "address": "{}:{}".format(*member.entry.address),
+                             "state": "draining" if member.entry.drain else "ready",
+                             "zone": member.entry.zone, "weight": member.entry.weight,
+                             "open": used.get(member.number, 0)}
+                            for ident, member in state.members.items()]}
+        return {"generation": self.generation.number, "file": self.generation.setup.path, "pools": pools,
+                "connections": self.count(), "requests": len(self.host.requests),
+                "state_file": self.keeper.problem or ("kept" if self.keeper.path else "off")}
+
     def count(self) -> int:
         """Connections of clients."""
         return sum(front.count() for front in (*self.fronts.values(), *self.closing))
@@ -239,6 +254,9 @@
     async def stop(self) -> None:
         """Take nothing new, answer all that is open, and end the connections."""
         fronts = (*self.fronts.values(), *self.closing)
+        self.control.stop()
+        for pool in self.pools.values():
+            pool.roster.stop()
         longest_s = max(kind.deadline_us for kind in self.generation.setup.classes) / 1e6
         ends = self.loop.time() + longest_s + STOP_READING_S + STOP_SLACK_S
         for front in fronts:
@@ -247,8 +265,9 @@
             for front in fronts:
                 front.stop_idle()
             if not self.count() or self.loop.time() >= ends:
-                return
+                break
             await asyncio.sleep(0.01)
+        await self.keeper.close()
 
 
 async def serve(setup: operator.Setup, started: Callable[[Daemon], None] | None = None) -> None:
@@ -260,6 +279,7 @@
     for number, handler in signals.items():
         loop.add_signal_handler(number, handler)
     daemon = Daemon(setup)
+    await daemon.control.start()
     for name, address in daemon.addresses().items():
         log.info("listener %s on %s:%d", name, *address)
     if started is not None:
--- /dev/null
+++ b/plovertrail/roster.py
@@ -0,0 +1,189 @@
+"""Keeps one pool's servers: sources in, steps through the reducer, changes out to the pool's module."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import logging
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+from functools import lru_cache
+
+from plovertrail.clock import clock_us
+from plovertrail.decisions import membership
+from plovertrail.decisions.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
+from plovertrail.decisions.membership import Address, Candidate, Guards, Kind, Member, State, Step
+from plovertrail.host import Host, ServerPool
+from plovertrail.sources.files import FileSource, FileWatch
+from plovertrail.sources.lists import BadList
+
+log = logging.getLogger(__name__)
+
+REPEAT_S = 10.0  # a loud report is repeated so often while it lasts
+INLINE = "inline"
+Elsewhere = Callable[[], Mapping[tuple[str, Address], int]]
+
+
+@lru_cache(maxsize=4096)
+def name_number(name: str) -> int:
+    """Zones and cells are told apart by number. Hazard: two cells of one number would get each other's
+    repeats; 63 bits of a digest keep them apart, and no table of names grows."""
+    return 1 + (int.from_bytes(hashlib.sha256(name.encode()).digest()[:8]) >> 1)
+
+
+class Roster:
+    """The servers of one pool. It outlives the pool's module, which a reload may replace."""
+
+    def __init__(self, name: str, host: Host, state: State, elsewhere: Elsewhere,
+                 changed: Callable[[], None]) -> None:
+        self.name = name
+        self.host = host
+        self.state = state
+        self.elsewhere = elsewhere
+        self.changed = changed  # called after each step that changed the state
+        self.guards = Guards()
+        self.order: tuple[str, ...] = ()
+        self.home_zone = ""
+        self.pool: ServerPool | None = None
+        self.watches: dict[str, FileWatch] = {}
+        self.unreadable: dict[str, str] = {}  # what is wrong with a source that gives no list
+        self.said: dict[str, float] = {}  # loud reports, and when they were last logged
+        self.lock = asyncio.Lock()
+        self.timer: asyncio.TimerHandle | None = None
+        self.repeating: asyncio.TimerHandle | None = None
+
+    # Sources
+
+    def configure(self, inline: tuple[membership.Entry, ...], sources: list[FileSource], guards: Guards,
+                  home_zone: str, starting: bool) -> None:
+        """Follow a new setup. `starting`: files are read now, as nothing is served yet; else by watches."""
+        self.guards, self.home_zone = guards, home_zone
+        self.order = (INLINE, *(source.name for source in sources))
+        listed = {name: told for name, told in self.unreadable.items() if name in self.order}
+        self.unreadable = listed
+        self.step(Candidate(INLINE, inline, by_operator=True))
+        if starting:
+            for source in sources:
+                self._read_now(source)
+            self.state = replace(self.state, started=True)
+        for name in self.watches.keys() - set(self.order):
+            self.watches.pop(name).stop()
+        for source in sources:
+            old = self.watches.get(source.name)
+            if old is None or old.source.checksum != source.checksum:
+                if old is not None:
+                    old.stop()
+                self.watches[source.name] = FileWatch(source, self.taken, self.refused)
+
+    def _read_now(self, source: FileSource) -> None:
+        """Blocking; before the daemon serves."""
+        try:
+            _, candidate = source.read(time.monotonic())
+            if candidate is None:
+                time.sleep(0.25)  # to see that it has settled
+                _, candidate = source.read(time.monotonic())
+            if candidate is None:
+                raise BadList("it has not settled yet")
+            self.step(candidate)
+        except (BadList, OSError) as error:
+            self.unreadable[source.name] = str(error)
+            self.speak()
+
+    async def taken(self, candidate: Candidate) -> None:
+        """A source has a whole list. The step is made off the loop, as a long list takes long."""
+        async with self.lock:
+            self.unreadable.pop(candidate.source, None)
+            if candidate.source not in self.order:
+                return
+            before = self.state
+            step = await asyncio.to_thread(self._reduced, before, candidate)
+            if self.state is before:
+                self.carry_out(step)
+            else:  # a hand drain or a reload came between
+                self.step(candidate)
+
+    async def refused(self, source: str, why: str) -> None:
+        """A source has no list that can be used: the last good one stays."""
+        if source in self.order:
+            self.unreadable[source] = why
+            self.speak()
+
+    def _reduced(self, state: State, candidate: Candidate | None) -> Step:
+        return membership.reduce(state, candidate, clock_us(), self.guards, self.order, self.elsewhere())
+
+    def step(self, candidate: Candidate | None) -> None:
+        """One step on the loop."""
+        self.carry_out(self._reduced(self.state, candidate))
+
+    def drain(self, ident: str, drain: bool) -> None:
+        """By the operator's hand; takes effect at once."""
+        self.carry_out(membership.drained_by_hand(self.state, ident, drain, clock_us(), self.guards))
+
+    # Effects
+
+    def carry_out(self, step: Step) -> None:
+        """Put a state into force: one assignment, and one event to the pool's module."""
+        before = self.state
+        self.state, changes, report = step
+        if changes and self.pool is not None:
+            entries = [self.upstream(change.member, change.kind is Kind.LEAVE) for change in changes]
+            addresses = {change.member.number: change.member.entry.address for change in changes}
+            self.host.list_changed(self.pool, UpstreamsUpdated(ListKind.DELTA, entries), addresses)
+        for text in report.told:
+            log.info("%s: generation %d: %s", self.name, self.state.generation, text)
+        self.speak()
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        due_us = membership.next_due_us(self.state)
+        if due_us is not None:
+            self.timer = self.host.loop.call_later(max(0, due_us - clock_us() + 1000) / 1e6, self.step, None)
+        if changes or self.state.by_hand != before.by_hand or self.state.layers != before.layers:
+            self.changed()
+
+    def upstream(self, member: Member, gone: bool = False) -> Upstream:
+        """A member as the module knows it."""
+        entry = member.entry
+        state = UpstreamState.DRAINING if entry.drain else UpstreamState.READY
+        zone = 0 if entry.zone == self.home_zone else name_number(entry.zone)
+        return Upstream(member.number, UpstreamState.GONE if gone else state, zone, 0,
+                        name_number(entry.cell), entry.weight, member.came_us)
+
+    def attach(self, pool: ServerPool) -> None:
+        """A module begins with all members. Hazard: one that starts anew under load would open its slots one
+        answer at a time."""
+        self.pool = pool
+        entries = [self.upstream(member) for member in self.state.members.values()]
+        addresses = {member.number: member.entry.address for member in self.state.members.values()}
+        self.host.list_changed(pool, UpstreamsUpdated(ListKind.CACHED, entries), addresses)
+
+    # Reports
+
+    def loud(self) -> tuple[str, ...]:
+        """What is wrong now, and lasts."""
+        unreadable = tuple(f"{source} gives no list, the last good one stays: {why}"
+                           for source, why in self.unreadable.items())
+        return unreadable + membership.report(self.state, clock_us()).loud
+
+    def speak(self) -> None:
+        """Log what is new, and what has lasted for long enough to be repeated. Hazard: a report for each poll
+        would fill the log, and one alone scrolls away while the list stays wrong."""
+        now = time.monotonic()
+        lasting = self.loud()
+        keys = {text[:60]: text for text in lasting}  # a figure in it may change with each look
+        self.said = {key: at for key, at in self.said.items() if key in keys}
+        for key, text in keys.items():
+            if now - self.said.get(key, -REPEAT_S) >= REPEAT_S:
+                self.said[key] = now
+                log.error("%s: %s", self.name, text)
+        if self.repeating is not None:
+            self.repeating.cancel()
+        self.repeating = self.host.loop.call_later(REPEAT_S, self.speak) if lasting else None
+
+    def stop(self) -> None:
+        for watch in self.watches.values():
+            watch.stop()
+        for timer in (self.timer, self.repeating):
+            if timer is not None:
+                timer.cancel()
--- /dev/null
+++ b/plovertrail/sources/state_file.py
@@ -0,0 +1,125 @@
+"""The last known good lists on a lasting disk: written whole or not at all, read back or set aside.
+
+The file is one line (format, length and SHA-256 of what follows) and a JSON object. It is written beside its
+place, synced, renamed, and the folder is synced; so whoever reads it, after a kill at any moment, finds the
+old one or the new one. What doesn't fit its first line is set aside and reported, never used in part.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import re
+from contextlib import suppress
+from dataclasses import asdict
+from typing import Any
+
+from plovertrail.decisions.membership import Candidate, Entry, Guards, Member, State, reduce
+
+FORMAT = 1
+LARGEST = 64 << 20
+HEAD = re.compile(rb"plovertrail-state (\d{1,9}) (\d{1,9}) ([0-9a-f]{64})\n")
+
+
+class BadState(Exception):
+    """A file that can't be used; the text says why."""
+
+
+def encode(states: dict[str, State], clock_us: int, unix_us: int) -> bytes:
+    """The file's bytes. Times go by Unix time, as the module's clock ends with the machine."""
+    ahead = unix_us - clock_us
+    pools = {name: _pool(state, ahead) for name, state in states.items()}
+    body = json.dumps({"pools": pools}, separators=(",", ":")).encode()
+    head = f"plovertrail-state {FORMAT} {len(body)} {hashlib.sha256(body).hexdigest()}\n"
+    return head.encode() + body
+
+
+def _pool(state: State, ahead: int) -> dict[str, Any]:
+    return {
+        "layers": [asdict(layer) for layer in state.layers],
+        "by_hand": sorted(state.by_hand),
+        "generation": state.generation,
+        "came": {ident: member.came_us + ahead for ident, member in state.members.items() if member.came_us},
+        "leaving": [[asdict(member.entry), since_us + ahead] for member, since_us in state.leaving.values()],
+    }
+
+
+def decode(data: bytes, clock_us: int, unix_us: int) -> dict[str, State]:
+    """The states in the file's bytes; raises BadState."""
+    head = HEAD.match(data)
+    if head is None:
+        raise BadState("it has no first line of ours")
+    if int(head[1]) != FORMAT:
+        raise BadState(f"its format is {int(head[1])}, and {FORMAT} is known here")
+    body = data[head.end():]
+    if len(body) != int(head[2]) or hashlib.sha256(body).hexdigest().encode() != head[3]:
+        raise BadState("it is damaged: its length or checksum is wrong")
+    try:
+        pools = json.loads(body)["pools"]
+        return {name: _state(pool, clock_us - unix_us) for name, pool in pools.items()}
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        raise BadState(f"it holds no states: {error!r}") from None
+
+
+def _entry(raw: Any) -> Entry:
+    return Entry(raw["id"], (raw["address"][0], raw["address"][1]), raw["zone"], raw["cell"], raw["weight"],
+                 raw["drain"])
+
+
+def _state(raw: Any, ahead: int) -> State:
+    """Numbers begin anew: they are this process's own."""
+    layers = tuple(Candidate(layer["source"], tuple(map(_entry, layer["entries"])), layer["version"],
+                             layer["by_operator"]) for layer in raw["layers"])
+    came = {ident: came_us + ahead for ident, came_us in raw["came"].items()}
+    state = State(by_hand=frozenset(raw["by_hand"]), layers=layers)
+    state, _, _ = reduce(state, None, 0, Guards(allow_empty=True, damping=False))
+    members = {ident: Member(member.number, member.entry, came.get(ident, 0))
+               for ident, member in state.members.items()}
+    leaving, number = {}, state.last_number
+    for entry, since_us in raw["leaving"]:
+        number += 1
+        leaving[number] = Member(number, _entry(entry), 0), since_us + ahead
+    return State(raw["generation"], True, layers, state.by_hand, members, leaving, last_number=number)
+
+
+def write(path: str, data: bytes) -> None:
+    """Put the bytes in the file's place, whole; raises OSError. Blocking."""
+    folder = os.path.dirname(path) or "."
+    beside = f"{path}.new"
+    fd = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+    try:
+        left = memoryview(data)
+        while left:
+            left = left[os.write(fd, left):]
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+    os.replace(beside, path)
+    handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
+
+
+def read(path: str, clock_us: int, unix_us: int) -> tuple[dict[str, State], str]:
+    """The states, and what to report. Never raises: a file that can't be used is set aside, and the start
+    goes on without it. Blocking."""
+    try:
+        fd = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
+        with open(fd, "rb") as file:
+            data = file.read(LARGEST + 1)
+    except FileNotFoundError:
+        return {}, ""
+    except OSError as error:
+        return {}, f"{path} can't be read, and is not used: {error.strerror}"
+    try:
+        if len(data) > LARGEST:
+            raise BadState(f"it holds more than {LARGEST >> 20} MiB")
+        return decode(data, clock_us, unix_us), ""
+    except BadState as error:
+        aside = f"{path}.bad"
+        with suppress(OSError):
+            os.replace(path, aside)
+        return {}, f"{path} is not used and set aside as {aside}: {error}"
--- /dev/null
+++ b/tests/decisions/test_membership.py
@@ -0,0 +1,291 @@
+"""Lists of servers as transactions: in full or not at all, guards, drains that win, damping, a model."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from plovertrail.decisions.membership import (
+    LONGEST_HOLD_US,
+    MOST_FLAPS,
+    Candidate,
+    Entry,
+    Guards,
+    Kind,
+    State,
+    Step,
+    drained_by_hand,
+    merged,
+    next_due_us,
+    reduce,
+)
+
+GUARDS = Guards(zones=frozenset(("", "a", "b")))
+S = 1_000_000
+
+
+def entry(number: int, **more: object) -> Entry:
+    return Entry(f"s{number}", ("10.0.0.1", 1000 + number), **more)  # type: ignore[arg-type]
+
+
+def listed(*numbers: int, source: str = "file", version: int = 0) -> Candidate:
+    return Candidate(source, tuple(entry(number) for number in numbers), version)
+
+
+def take(state: State, candidate: Candidate | None, now_us: int = 10 * S, **more: object) -> Step:
+    return reduce(state, candidate, now_us, GUARDS, **more)  # type: ignore[arg-type]
+
+
+def begun(*numbers: int) -> State:
+    """These servers from the start on."""
+    return replace(take(State(), listed(*numbers))[0], started=True)
+
+
+def kinds(step: Step) -> list[tuple[str, str]]:
+    return [(change.member.entry.id, change.kind.value) for change in step[1]]
+
+
+def test_a_list_is_one_step_of_joins_leaves_moves_and_changes() -> None:
+    state = begun(1, 2, 3, 4, 5)
+    moved = replace(entry(3), address=("10.0.0.9", 1))
+    step = take(
+        state,
+        Candidate("file", (entry(1), replace(entry(2), weight=2.0), moved, entry(4, drain=True), entry(6))),
+    )
+    assert kinds(step) == [
+        ("s3", "leaves"),
+        ("s5", "leaves"),
+        ("s2", "changes"),
+        ("s3", "joins"),
+        ("s4", "drains"),
+        ("s6", "joins"),
+    ]
+    after = step[0]
+    assert after.generation == state.generation + 1
+    assert after.members["s1"] is state.members["s1"] and after.members["s1"].came_us == 0
+    assert after.members["s3"].came_us == after.members["s6"].came_us == 10 * S  # cold from then on
+    numbers = [member.number for member in after.members.values()]
+    assert len(set(numbers)) == 5 and after.members["s3"].number not in {
+        m.number for m in state.members.values()
+    }
+    assert {member.entry.id for member, _ in after.leaving.values()} == {"s3", "s5"}
+    assert take(after, Candidate("file", after.layers[0].entries))[1] == ()
+
+
+@pytest.mark.parametrize(
+    ("candidate", "told"),
+    [
+        (Candidate("file", ()), "the list is empty"),
+        (listed(1), "it drops or moves 3 of 4 servers at once"),
+        (listed(1, 2, 3, 3), 'two servers are called "s3"'),
+        (
+            Candidate("file", (*listed(1, 2, 3).entries, replace(entry(4), address=entry(1).address))),
+            "has the address of",
+        ),
+        (Candidate("file", (*listed(1, 2, 3).entries, entry(4, weight=0.0))), "has a weight of 0.0"),
+        (Candidate("file", (*listed(1, 2, 3).entries, entry(4, weight=math.nan))), "has a weight of nan"),
+        (Candidate("file", (*listed(1, 2, 3).entries, entry(4, weight=1e9))), "at most 1000"),
+        (Candidate("file", (*listed(1, 2, 3).entries, entry(4, zone="z"))), 'in the unknown zone "z"'),
+        (listed(1, 2, 3, 4, version=6), "its version 6 goes backwards, from 7"),
+    ],
+)
+def test_a_list_that_breaks_a_guard_changes_nothing_and_is_told_while_it_lasts(
+    candidate: Candidate, told: str
+) -> None:
+    state = take(begun(1, 2, 3, 4), listed(1, 2, 3, 4, version=7))[0]
+    after, changes, report = take(state, candidate)
+    assert changes == () and after.members == state.members and after.layers == state.layers
+    assert any(told in text for text in report.loud)
+    after, _, report = take(after, listed(5, 6, source="other"))  # another source still works
+    assert any(told in text for text in report.loud) and len(after.members) == 6
+    assert take(after, listed(1, 2, 3, 4, version=7))[2].loud == ()  # and a good list ends it
+
+
+def test_an_operators_own_list_may_drop_what_it_will() -> None:
+    state = begun(1, 2, 3, 4)
+    inline = Candidate("file", (), by_operator=True)
+    assert [kind for _, kind in kinds(take(state, inline))] == ["leaves"] * 4
+
+
+def test_a_drain_from_any_source_wins_over_a_join_from_any_other() -> None:
+    base, over = listed(1, 2, source="base"), Candidate("over", (entry(1, weight=5.0), entry(3)))
+    order = ("over", "base")
+    state = take(State(), base, order=order)[0]
+    state = take(state, over, order=order)[0]
+    assert state.members["s1"].entry.weight == 5.0  # the first source that lists it
+    state, changes, _ = take(state, Candidate("base", (entry(1, drain=True), entry(2))), order=order)
+    assert state.members["s1"].entry.drain and [change.kind for change in changes] == [Kind.DRAIN]
+    state, changes, _ = take(state, Candidate("base", base.entries), order=order)
+    assert [change.kind for change in changes] == [Kind.UNDRAIN]
+    state, changes, _ = drained_by_hand(state, "s2", True, 0, GUARDS)
+    assert [change.kind for change in changes] == [Kind.DRAIN]
+    for candidate in (base, over):
+        state = take(state, candidate, order=order)[0]
+        assert state.members["s2"].entry.drain
+    assert not drained_by_hand(state, "s2", False, 0, GUARDS)[0].members["s2"].entry.drain
+
+
+def test_lists_of_sources_that_are_named_no_more_are_dropped() -> None:
+    state = take(begun(1, 2), listed(3, 4, source="other"), order=("file", "other"))[0]
+    state = take(state, listed(3, source="other"), order=("other",))[0]
+    assert set(state.members) == {"s3"}
+
+
+def test_an_address_under_two_ids_is_one_server() -> None:
+    found = merged([listed(1), Candidate("b", (replace(entry(1), id="twin"),))], frozenset())
+    assert set(found) == {"s1"}
+
+
+def test_a_server_that_comes_back_is_another_one_and_cold() -> None:
+    state = begun(1, 2)
+    old = state.members["s1"]
+    state = take(state, listed(2))[0]
+    state, changes, _ = take(state, listed(1, 2), 11 * S)
+    back = state.members["s1"]
+    assert back.number != old.number and back.came_us == 11 * S
+    state = take(state, listed(2), 12 * S)[0]
+    twin = Candidate("file", (replace(entry(1), id="new"), entry(2)))
+    state = take(state, twin, 13 * S)[0]
+    assert (
+        state.members["new"].number not in (old.number, back.number)
+        and state.members["new"].came_us == 13 * S
+    )
+
+
+def test_a_server_that_another_pool_knows_is_no_newcomer() -> None:
+    elsewhere = {("s3", entry(3).address): 7}
+    state = take(begun(1, 2), listed(1, 2, 3, 4), elsewhere=elsewhere)[0]
+    assert (state.members["s3"].came_us, state.members["s4"].came_us) == (7, 10 * S)
+
+
+def test_flapping_delays_joins_and_never_a_leave() -> None:
+    state, now_us, joins = begun(1, 2), 10 * S, []
+    for _ in range(8):
+        state, changes, _ = take(state, listed(2), now_us)
+        assert "s1" not in state.members  # at once
+        state, changes, report = take(state, listed(1, 2), now_us + S)
+        joins.append("s1" in state.members)
+        due_us = next_due_us(state)
+        if due_us is not None:
+            assert any("come and go" in text for text in report.loud)
+            assert now_us + S < due_us <= now_us + S + LONGEST_HOLD_US
+            assert take(state, None, due_us - 1)[1] == ()
+            state, changes, _ = take(state, None, due_us)
+            assert [change.kind for change in changes] == [Kind.JOIN]
+            now_us = due_us
+        now_us += 2 * S
+    assert joins[:2] == [True, True] and not any(joins[3:])
+    assert "s1" in take(take(state, listed(2), now_us)[0], listed(1, 2), now_us + 3600 * S)[0].members
+
+
+def test_a_held_join_that_leaves_again_is_forgotten() -> None:
+    state, now_us = begun(1, 2), 10 * S
+    for _ in range(4):
+        state = take(state, listed(2), now_us)[0]
+        state = take(state, listed(1, 2), now_us)[0]
+    assert state.held
+    state = take(state, listed(2), now_us)[0]
+    assert not state.held and next_due_us(state) is None
+
+
+def test_what_is_remembered_of_servers_that_have_gone_is_bounded() -> None:
+    state = replace(State(), started=True)
+    guards = Guards(allow_empty=True, most_dropped=1.0)
+    for lot in range(4):
+        numbers = range(lot * 4000, lot * 4000 + 4000)
+        entries = tuple(Entry(f"s{n}", (f"10.0.{n >> 8}.{n & 255}", 80)) for n in numbers)
+        state = reduce(state, Candidate("file", entries), lot * 300 * S, guards)[0]
+        state = reduce(state, Candidate("file", ()), lot * 300 * S, guards)[0]
+    assert len(state.flaps) <= MOST_FLAPS and len(state.leaving) <= 4000
+
+
+entries = st.builds(
+    lambda n, port, zone, weight, drain: Entry(f"s{n}", ("10.0.0.1", port), zone, "", weight, drain),
+    st.integers(0, 7),
+    st.integers(1, 9),
+    st.sampled_from(["", "a", "z"]),
+    st.sampled_from([1.0, 2.0, -1.0, math.inf]) | st.just(1.0),
+    st.booleans(),
+)
+
+
+class Lists(RuleBasedStateMachine):
+    """Random lists of two sources, hand drains and time, against a model that keeps whole lists only."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.state = replace(State(), started=True)
+        self.now_us = S
+        self.good: dict[str, Candidate] = {}
+        self.hand: set[str] = set()
+        self.used: set[int] = set()
+        self.ready: dict[int, Entry] = {}  # as whoever follows the changes sees it
+
+    def follow(self, step: Step) -> None:
+        before = self.state
+        self.state, changes, _ = step
+        for change in changes:
+            number = change.member.number
+            if change.kind is Kind.JOIN:
+                assert number not in self.used
+                assert change.member.came_us == self.now_us
+                self.used.add(number)
+            if change.kind is Kind.LEAVE:
+                del self.ready[number]
+            else:
+                self.ready[number] = change.member.entry
+        assert bool(changes) == (self.state.generation > before.generation)
+
+    @rule(source=st.sampled_from(["a", "b"]), rows=st.lists(entries, max_size=6), version=st.integers(0, 3))
+    def a_list(self, source: str, rows: list[Entry], version: int) -> None:
+        candidate = Candidate(source, tuple(rows), version)
+        step = reduce(self.state, candidate, self.now_us, GUARDS, ("a", "b"))
+        if source in step[0].refused:
+            assert step[1] == () and step[0].members == self.state.members
+        else:
+            self.good[source] = candidate
+        self.follow(step)
+
+    @rule(ident=st.integers(0, 7), drain=st.booleans())
+    def by_hand(self, ident: int, drain: bool) -> None:
+        (self.hand.add if drain else self.hand.discard)(f"s{ident}")
+        self.follow(drained_by_hand(self.state, f"s{ident}", drain, self.now_us, GUARDS))
+
+    @rule(by_us=st.integers(1, 90 * S))
+    def time_passes(self, by_us: int) -> None:
+        self.now_us += by_us
+        self.follow(reduce(self.state, None, self.now_us, GUARDS, ("a", "b")))
+
+    @invariant()
+    def the_members_are_what_whole_good_lists_say(self) -> None:
+        wanted = merged([self.good[name] for name in ("a", "b") if name in self.good], frozenset(self.hand))
+        assert set(self.state.members) | set(self.state.held) == set(wanted)
+        assert not set(self.state.members) & set(self.state.held)
+        for ident, member in self.state.members.items():
+            assert member.entry == wanted[ident]
+            assert 0 < member.entry.weight < math.inf and member.entry.zone in GUARDS.zones
+        assert {member.number: member.entry for member in self.state.members.values()} == self.ready
+        addresses = [member.entry.address for member in self.state.members.values()]
+        assert len(addresses) == len(set(addresses))
+
+    @invariant()
+    def whoever_drains_drains(self) -> None:
+        draining = self.hand | {row.id for layer in self.good.values() for row in layer.entries if row.drain}
+        assert all(self.state.members[ident].entry.drain for ident in draining & set(self.state.members))
+
+
+TestLists = Lists.TestCase
+TestLists.settings = settings(max_examples=150, stateful_step_count=30, deadline=None, derandomize=True)
+
+
+@given(st.lists(entries, max_size=12))
+def test_a_state_is_never_changed_in_place(rows: list[Entry]) -> None:
+    state = begun(1, 2, 3)
+    before = dict(state.members), state.layers, dict(state.flaps), dict(state.leaving)
+    take(state, Candidate("file", tuple(rows)))
+    assert before == (dict(state.members), state.layers, dict(state.flaps), dict(state.leaving))
