The platform's discovery goes through the reducer that all lists go through

Need: one place that says what a list means. No guard holds the platform's lists back, and the module is told the same events: whole lists whole, changes as changes; a malformed list takes nothing, where it could take a part.

--- a/plovertrail/decisions/membership.py
+++ b/plovertrail/decisions/membership.py
@@ -31,6 +31,8 @@
     cell: str = ""
     weight: float = 1.0
     drain: bool = False
+    model: str = ""
+    started_us: int | None = None  # when it last started, 0 = long ago; None: the source doesn't know
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +55,11 @@
     largest_weight: float = 1000.0
     zones: frozenset[str] = frozenset()  # empty: any
     damping: bool = True
+    shared_addresses: bool = False  # for a while, as one server takes another's place
+
+
+UNGUARDED = Guards(allow_empty=True, most_dropped=1.0, largest_weight=math.inf, damping=False,
+                   shared_addresses=True)  # for a source that is known to be right, as the platform's
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +134,7 @@
     for entry in candidate.entries:
         if entry.id in ids:
             found.append(f'two servers are called "{entry.id}"')
-        if entry.address in addresses:
+        if entry.address in addresses and not guards.shared_addresses:
             found.append(f'"{entry.id}" has the address of "{addresses[entry.address]}"')
         if not (math.isfinite(entry.weight) and 0 < entry.weight <= guards.largest_weight):
             found.append(f'"{entry.id}" has a weight of {entry.weight}: '
@@ -153,9 +160,9 @@
     return tuple(found)
 
 
-def merged(layers: Iterable[Candidate], by_hand: frozenset[str]) -> dict[str, Entry]:
+def merged(layers: Iterable[Candidate], by_hand: frozenset[str], shared: bool = False) -> dict[str, Entry]:
     """One entry a server: of the first source that lists it, but draining if any source or the operator says
-    so. An address that an earlier source has under another id is that server's."""
+    so. Unless `shared`, an address that an earlier source has under another id is that server's."""
     found: dict[str, Entry] = {}
     taken: dict[Address, str] = {}
     draining = set(by_hand)
@@ -163,7 +170,7 @@
         for entry in layer.entries:
             if entry.drain:
                 draining.add(entry.id)
-            if entry.id not in found and taken.setdefault(entry.address, entry.id) == entry.id:
+            if entry.id not in found and (taken.setdefault(entry.address, entry.id) == entry.id or shared):
                 found[entry.id] = entry
     for ident in draining & found.keys():
         if not found[ident].drain:
@@ -199,7 +206,7 @@
 
 def _settle(state: State, now_us: int, guards: Guards, elsewhere: Mapping[tuple[str, Address], int]) -> Step:
     """Bring the members to what the sources say."""
-    wanted = merged(state.layers, state.by_hand)
+    wanted = merged(state.layers, state.by_hand, guards.shared_addresses)
     members: dict[str, Member] = {}
     leaving = {number: left for number, left in state.leaving.items() if left[1] > now_us - LEAVING_US}
     flaps, held = dict(state.flaps), {}
@@ -209,8 +216,9 @@
         entry = wanted.get(ident)
         if entry is None or entry.address != member.entry.address:
             leaving[member.number] = member, now_us
-            flap = flaps.pop(ident, None)  # put last: the oldest go first
-            flaps[ident] = Flap(1.0 + (flap.now(now_us) if flap is not None else 0.0), now_us)
+            if guards.damping:
+                flap = flaps.pop(ident, None)  # put last: the oldest go first
+                flaps[ident] = Flap(1.0 + (flap.now(now_us) if flap is not None else 0.0), now_us)
             changes.append(Change(Kind.LEAVE, member))
     for ident, entry in wanted.items():
         old = state.members.get(ident)
@@ -221,7 +229,8 @@
             kind = Kind.CHANGE
             if old.entry.drain != entry.drain:
                 kind = Kind.DRAIN if entry.drain else Kind.UNDRAIN
-            members[ident] = replace(old, entry=entry)
+            came_us = old.came_us if entry.started_us is None else entry.started_us
+            members[ident] = Member(old.number, entry, came_us)
             changes.append(Change(kind, members[ident]))
             continue
         hold_us = _hold_us(flaps.get(ident), now_us) if guards.damping and state.started else 0
@@ -232,6 +241,8 @@
         last_number += 1
         cold_us = now_us if state.started else 0
         came_us = elsewhere.get((ident, entry.address), cold_us) if ident not in flaps else cold_us
+        if entry.started_us is not None:
+            came_us = entry.started_us
         members[ident] = Member(last_number, entry, came_us)
         changes.append(Change(Kind.JOIN, members[ident]))
     while len(flaps) > MOST_FLAPS:
--- a/plovertrail/sources/discovery.py
+++ b/plovertrail/sources/discovery.py
@@ -6,6 +6,7 @@
 import ipaddress
 import json
 import logging
+import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -15,6 +16,7 @@
 from plovertrail.clock import clock_us
 from plovertrail.config.platform import parse_address
 from plovertrail.decisions.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
+from plovertrail.decisions.membership import UNGUARDED, Candidate, Change, Entry, Kind, State, reduce
 
 log = logging.getLogger(__name__)
 
@@ -34,47 +36,58 @@
 
 
 class Directory:
-    """Turns discovery's entries into the module's: a number for each uid, times on the module's clock."""
+    """Turns discovery's lists into the module's events, through the reducer that all sources go through. No
+    guard holds a list of the platform's back: its drains count from the moment that it tells them."""
 
     def __init__(self, zones: list[str], kinds: list[str]) -> None:
         self.zones = zones
         self.kinds = kinds
-        self.idents: dict[str, int] = {}
-        self.last_ident = 0
+        self.state = State()
         self.to_clock_us = clock_us() - time.time_ns() // 1000  # from Unix time, once for all
 
     def read(self, lines: Any, kind: ListKind | None = None) -> tuple[UpstreamsUpdated, dict[int, Address]]:
-        """The event for one list, with the addresses of its entries; raises on what is malformed."""
+        """The event for one list, with the addresses of its entries; raises on what is malformed, and then
+        nothing of it has been taken."""
         if kind is None:
             kind = ListKind.FULL if lines["all"] else ListKind.DELTA
-        entries, addresses = [], {}
+        listed: dict[str, Entry] = {}
+        if kind is ListKind.DELTA:
+            listed = {entry.id: entry for layer in self.state.layers for entry in layer.entries}
         for line in lines["targets"]:
-            entry, addresses_of = self.entry(line)
-            entries.append(entry)
-            addresses[entry.id] = addresses_of
+            entry = self.entry(line)
+            listed.pop(entry.id, None)
+            if STATES[line["state"]] is not UpstreamState.GONE:
+                listed[entry.id] = entry
+        rev = int(lines["rev"])
+        candidate = Candidate("discovery", tuple(listed.values()))
+        self.state, changes, report = reduce(self.state, candidate, clock_us(), UNGUARDED)
+        if report.loud:
+            raise ValueError(report.loud[0])
         if kind is not ListKind.DELTA:
-            listed = {line["uid"] for line in lines["targets"]}
-            self.idents = {uid: ident for uid, ident in self.idents.items() if uid in listed}
-        for line in lines["targets"]:
-            if STATES[line["state"]] is UpstreamState.GONE:
-                self.idents.pop(line["uid"], None)
-        return UpstreamsUpdated(kind, entries, int(lines["rev"])), addresses
-
-    def entry(self, line: Any) -> tuple[Upstream, Address]:
-        uid = line["uid"]
-        if uid not in self.idents:
-            self.last_ident += 1
-            self.idents[uid] = self.last_ident
+            changes = tuple(Change(Kind.JOIN, member) for member in self.state.members.values())
+        entries = [self.upstream(change) for change in changes]
+        addresses = {change.member.number: change.member.entry.address for change in changes}
+        return UpstreamsUpdated(kind, entries, rev), addresses
+
+    def entry(self, line: Any) -> Entry:
+        """One of discovery's entries as sources have them."""
         boot_ms = int(line["boot_ms"])
+        weight = float(line["capacity_hint"])
+        drains = STATES[line["state"]] is UpstreamState.DRAINING
+        return Entry(str(line["uid"]), endpoint(line["endpoint"]), line["az"], str(int(line["pod_group"])),
+                     weight if 0 < weight < math.inf else 1.0, drains, line["model"],
+                     boot_ms * 1000 + self.to_clock_us if boot_ms else 0)
+
+    def upstream(self, change: Change) -> Upstream:
+        """A changed server as the module knows it."""
+        member, entry = change.member, change.member.entry
+        state = UpstreamState.DRAINING if entry.drain else UpstreamState.READY
         return Upstream(
-            id=self.idents[uid],
-            state=STATES[line["state"]],
-            zone=self.zones.index(line["az"]) if line["az"] in self.zones else len(self.zones),
-            kind=self.kinds.index(line["model"]) if line["model"] in self.kinds else len(self.kinds),
-            cell=int(line["pod_group"]),
-            weight=float(line["capacity_hint"]),
-            started_us=boot_ms * 1000 + self.to_clock_us if boot_ms else 0,
-        ), endpoint(line["endpoint"])
+            id=member.number,
+            state=UpstreamState.GONE if change.kind is Kind.LEAVE else state,
+            zone=self.zones.index(entry.zone) if entry.zone in self.zones else len(self.zones),
+            kind=self.kinds.index(entry.model) if entry.model in self.kinds else len(self.kinds),
+            cell=int(entry.cell), weight=entry.weight, started_us=member.came_us)
 
 
 class Watch(asyncio.Protocol):
--- /dev/null
+++ b/tests/sources/test_discovery.py
@@ -0,0 +1,85 @@
+"""The platform's lists through the reducer: the module is told what it was told before."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from plovertrail.decisions.interface import ListKind, UpstreamState
+from plovertrail.sources.discovery import Directory
+from tests.net import entry, listing
+
+
+def states(directory: Directory, lines: Any, kind: ListKind | None = None) -> dict[int, UpstreamState]:
+    event, addresses = directory.read(lines, kind)
+    assert set(addresses) == {each.id for each in event.upstreams}
+    return {each.id: each.state for each in event.upstreams}
+
+
+def test_lists_and_changes_become_events() -> None:
+    directory = Directory(["a"], ["m"])
+    ready, draining, gone = UpstreamState.READY, UpstreamState.DRAINING, UpstreamState.GONE
+    assert states(directory, listing(entry("x", 1), entry("y", 2)), ListKind.CACHED) == {1: ready, 2: ready}
+    assert states(directory, listing(entry("x", 1), entry("y", 2))) == {
+        1: ready,
+        2: ready,
+    }  # whole, though unchanged
+    assert states(directory, listing(entry("y", 2, "leaving"), full=False)) == {2: draining}
+    assert states(directory, listing(entry("y", 2, "left"), entry("z", 2), full=False)) == {2: gone, 3: ready}
+    assert states(directory, listing(entry("y", 2), full=False)) == {4: ready}  # another one than before
+    assert states(directory, listing(full=False)) == {}
+    assert states(directory, listing()) == {}  # an empty whole list is the platform's to tell
+
+
+def test_a_restart_under_the_same_id_is_told_with_its_time() -> None:
+    directory = Directory(["a"], ["m"])
+    directory.read(listing(entry("x", 1)))
+    event, _ = directory.read(listing(entry("x", 1, boot_ms=5), full=False))
+    assert [(each.id, each.started_us) for each in event.upstreams] == [(1, 5000 + directory.to_clock_us)]
+    assert (event.upstreams[0].zone, event.upstreams[0].kind, event.upstreams[0].cell) == (0, 0, 1)
+
+
+def test_two_servers_at_one_address_are_both_told() -> None:
+    directory = Directory(["a"], ["m"])
+    assert len(states(directory, listing(entry("x", 1, "leaving"), entry("y", 1)))) == 2
+
+
+@pytest.mark.parametrize(
+    "broken", [{"state": "well"}, {"endpoint": "host:1"}, {"boot_ms": "x"}, {"uid": None}]
+)
+def test_a_malformed_list_takes_nothing(broken: dict[str, Any]) -> None:
+    directory = Directory(["a"], ["m"])
+    directory.read(listing(entry("x", 1)))
+    before = directory.state
+    if broken == {"uid": None}:
+        lines = {"rev": 1, "all": False, "targets": [{"state": "active"}]}
+    else:
+        lines = listing(entry("new", 2), entry("y", 3) | broken, full=False)
+    with pytest.raises((KeyError, ValueError)):
+        directory.read(lines)
+    assert directory.state is before
+
+
+def test_whoever_follows_changes_has_what_a_whole_list_says() -> None:
+    rng, directory, follower = random.Random(1), Directory(["a"], ["m"]), Directory(["a"], ["m"])
+    served: dict[int, tuple[str, int]] = {}
+    directory.read(listing())
+    listed: dict[str, dict[str, Any]] = {}
+    for _ in range(300):
+        lines = []
+        for uid in rng.sample("abcdefgh", rng.randrange(4)):
+            line = entry(uid, rng.randrange(1, 9), rng.choice(["active", "active", "leaving", "left"]))
+            lines.append(line)
+            listed.pop(uid, None)
+            if line["state"] != "left":
+                listed[uid] = line
+        event, addresses = directory.read(listing(*lines, full=False))
+        for each in event.upstreams:
+            served.pop(each.id, None)
+            if each.state is UpstreamState.READY:
+                served[each.id] = addresses[each.id]
+        wanted, whole = follower.read(listing(*listed.values()))
+        ready = sorted(whole[each.id] for each in wanted.upstreams if each.state is UpstreamState.READY)
+        assert sorted(served.values()) == ready
