Move servers between sources without a leave; shorter standstills of the loop

A server that moved from the operator's file to a list was in neither for a moment and came back cold: new lists are read before the setup changes, and go first.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -29,7 +29,7 @@
 from benchmarks.report import Bar, close, table
 from plovertrail.clock import clock_us
 from plovertrail.config.operator import load
-from plovertrail.daemon import Daemon
+from plovertrail.daemon import Daemon, settle_heap
 from plovertrail.decisions.membership import Candidate, Entry, Guards, State, reduce
 from plovertrail.sources import state_file
 from plovertrail.sources.files import FileWatch
@@ -80,7 +80,9 @@
     port = free_port()
     path = folder / "site.toml"
     path.write_text(FILE.format(port=port, folder=folder, damping=str(damping).lower()))
-    return Daemon(load(str(path))), port
+    daemon = Daemon(load(str(path)))
+    settle_heap()  # as `serve` does
+    return daemon, port
 
 
 def members(daemon: Daemon) -> dict[str, Entry]:
--- a/plovertrail/cli/check.py
+++ b/plovertrail/cli/check.py
@@ -6,6 +6,18 @@
 
 from plovertrail.cli.files import load_or_exit
 from plovertrail.daemon import needed_descriptors, needed_memory
+from plovertrail.sources.files import FileSource
+from plovertrail.sources.lists import BadList
+
+
+def told_of(path: str, checksum: bool) -> str:
+    """What a list of servers holds now, or why it can't be used now."""
+    source = FileSource(path, checksum)
+    try:
+        _, found = source.read(0.0, settle=False)
+    except (BadList, OSError) as error:
+        return f"{path}: no list now: {error}"
+    return f"{path}: {len(found.entries) if found is not None else 0} servers"
 
 
 @click.command()
@@ -20,5 +32,7 @@
                f"at most {needed_descriptors(setup)} descriptors, "
                f"{needed_memory(setup) >> 20} MiB of messages")
     for name, pool in setup.pools.items():
-        if not any(not server.drain for server in pool.servers):
+        for path in pool.files:
+            click.echo(f"pools.{name}: {told_of(path, pool.checksum)}")
+        if not pool.files and not any(not server.drain for server in pool.servers):
             click.echo(f"note: pools.{name} has no server that takes requests: it refuses all")
--- a/plovertrail/config/operator.py
+++ b/plovertrail/config/operator.py
@@ -194,6 +194,11 @@
     checksum: bool  # these must carry one
     guards: Guards
 
+    @property
+    def lists(self) -> list[tuple[str, bool]]:
+        """Each further list's path, and whether it must carry a checksum."""
+        return [(path, self.checksum) for path in self.files]
+
 
 @dataclass(frozen=True, slots=True)
 class Setup:
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import os
 import resource
 import signal
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 from typing import Any
 
@@ -19,8 +20,8 @@
 from plovertrail.fronts.ordinary import OrdinaryFront
 from plovertrail.generation import Current, Generation, make_generation
 from plovertrail.host import Host, ServerPool
-from plovertrail.roster import Roster
-from plovertrail.sources.files import FileSource
+from plovertrail.roster import FirstRead, Roster
+from plovertrail.sources.files import FileSource, first_read
 from plovertrail.state_keeper import StateKeeper
 from plovertrail.upstreams.connections import AnswerRules, ConnectionPool
 
@@ -66,6 +67,19 @@
     return int.from_bytes(os.urandom(8))
 
 
+def settle_heap() -> None:
+    """What a daemon holds once it serves stays, by and large. Hazard: the collector would go through all of
+    it each time that a long list comes, and hold all threads up meanwhile."""
+    gc.collect()
+    gc.freeze()
+
+
+def read_lists(setup: operator.Setup, known: frozenset[tuple[str, bool]]) -> dict[str, FirstRead]:
+    """The lists that a setup names and that are not known yet, by their sources' names. Blocking."""
+    sources = [FileSource(*key) for pool in setup.pools.values() for key in pool.lists if key not in known]
+    return {source.name: first_read(source) for source in sources}
+
+
 class RunningPool:
     """A pool in force: what was configured, its place in the host, and its connections."""
 
@@ -107,7 +121,7 @@
         self.control = ControlSocket(self, setup.control_socket)
         self.closing: list[OrdinaryFront] = []  # their addresses are configured no more
         self.current = Current(Generation(0, setup, {}, {}, {}))
-        self.apply(setup)
+        self.apply(setup, read_lists(setup, frozenset()))
 
     @property
     def generation(self) -> Generation:
@@ -117,12 +131,12 @@
         """Where the listeners are."""
         return {name: front.listener.address for name, front in self.fronts.items()}
 
-    def apply(self, setup: operator.Setup) -> None:
-        """Put a setup into force, in full or not at all; raises ConfigError."""
+    def apply(self, setup: operator.Setup, fresh: Mapping[str, FirstRead]) -> None:
+        """Put a setup into force, in full or not at all; `fresh` has the lists that are not watched yet.
+        Raises ConfigError."""
         check_descriptors(setup)
         sockets = self._bind(setup)
         # from here on nothing fails
-        starting = not self.pools
         before, self.pools = self.pools, {}
         replaced = []
         for name, config in setup.pools.items():
@@ -134,12 +148,12 @@
                 if old is not None:
                     replaced.append(old)
                 roster.pool = None
-                roster.configure(config.servers, sources, config.guards, config.home_zone, starting)
+                roster.configure(config.servers, sources, config.guards, config.home_zone, fresh)
                 pool = RunningPool(self.host, config, setup.limits.max_answer, roster, self.seeds())
                 roster.attach(pool.pool)
             else:
                 pool.config = config
-                roster.configure(config.servers, sources, config.guards, config.home_zone, starting)
+                roster.configure(config.servers, sources, config.guards, config.home_zone, fresh)
             self.pools[name] = pool
         pools: dict[str, ServerPool] = {name: pool.pool for name, pool in self.pools.items()}
         self.current.generation = make_generation(self.generation.number + 1, setup, pools)
@@ -206,7 +220,8 @@
         try:
             # hazard: a long file takes long to check, and every open request would wait for it
             setup = await asyncio.to_thread(self.load, path)
-            self.apply(setup)
+            known = frozenset(key for pool in self.pools.values() for key in pool.config.lists)
+            self.apply(setup, await asyncio.to_thread(read_lists, setup, known))
         except ConfigError as error:
             log.error("reload refused, the setup in force stays: %s", error)
             return False
@@ -280,6 +295,7 @@
         loop.add_signal_handler(number, handler)
     daemon = Daemon(setup)
     await daemon.control.start()
+    settle_heap()
     for name, address in daemon.addresses().items():
         log.info("listener %s on %s:%d", name, *address)
     if started is not None:
--- a/plovertrail/roster.py
+++ b/plovertrail/roster.py
@@ -16,12 +16,12 @@
 from plovertrail.decisions.membership import Address, Candidate, Guards, Kind, Member, State, Step
 from plovertrail.host import Host, ServerPool
 from plovertrail.sources.files import FileSource, FileWatch
-from plovertrail.sources.lists import BadList
 
 log = logging.getLogger(__name__)
 
 REPEAT_S = 10.0  # a loud report is repeated so often while it lasts
 INLINE = "inline"
+FirstRead = Candidate | str  # a list, or what is wrong with it
 Elsewhere = Callable[[], Mapping[tuple[str, Address], int]]
 
 
@@ -56,17 +56,25 @@
     # Sources
 
     def configure(self, inline: tuple[membership.Entry, ...], sources: list[FileSource], guards: Guards,
-                  home_zone: str, starting: bool) -> None:
-        """Follow a new setup. `starting`: files are read now, as nothing is served yet; else by watches."""
+                  home_zone: str, fresh: Mapping[str, FirstRead]) -> None:
+        """Follow a new setup; `fresh` has what the sources that are new hold. Hazard: a server that moves
+        from one source to another is in neither for a moment, and would come back cold; so what is new goes
+        first, and what the operator's own file no longer lists goes last."""
         self.guards, self.home_zone = guards, home_zone
         self.order = (INLINE, *(source.name for source in sources))
-        listed = {name: told for name, told in self.unreadable.items() if name in self.order}
-        self.unreadable = listed
+        self.unreadable = {name: told for name, told in self.unreadable.items() if name in self.order}
+        for source in sources:
+            found = fresh.get(source.name)
+            if isinstance(found, str):
+                self.unreadable[source.name] = found
+            elif found is not None:
+                self.unreadable.pop(source.name, None)
+                layers = {layer.source for layer in self.state.layers}
+                everything = (*self.order, *(name for name in layers if name not in self.order))
+                self.carry_out(membership.reduce(self.state, found, clock_us(), guards, everything,
+                                                 self.elsewhere()))
         self.step(Candidate(INLINE, inline, by_operator=True))
-        if starting:
-            for source in sources:
-                self._read_now(source)
-            self.state = replace(self.state, started=True)
+        self.state = replace(self.state, started=True)
         for name in self.watches.keys() - set(self.order):
             self.watches.pop(name).stop()
         for source in sources:
@@ -76,20 +84,6 @@
                     old.stop()
                 self.watches[source.name] = FileWatch(source, self.taken, self.refused)
 
-    def _read_now(self, source: FileSource) -> None:
-        """Blocking; before the daemon serves."""
-        try:
-            _, candidate = source.read(time.monotonic())
-            if candidate is None:
-                time.sleep(0.25)  # to see that it has settled
-                _, candidate = source.read(time.monotonic())
-            if candidate is None:
-                raise BadList("it has not settled yet")
-            self.step(candidate)
-        except (BadList, OSError) as error:
-            self.unreadable[source.name] = str(error)
-            self.speak()
-
     async def taken(self, candidate: Candidate) -> None:
         """A source has a whole list. The step is made off the loop, as a long list takes long."""
         async with self.lock:
--- a/plovertrail/sources/files.py
+++ b/plovertrail/sources/files.py
@@ -143,6 +143,23 @@
         return signature(found) == old.signature and time.time() - found.st_mtime > COARSE_S
 
 
+def first_read(source: FileSource) -> Candidate | str:
+    """What a source holds that is not watched yet, or what is wrong with it. Blocking."""
+    try:
+        _, found = source.read(time.monotonic())
+        if found is None:
+            time.sleep(SETTLE_S + 0.05)
+            _, found = source.read(time.monotonic())
+        return found if found is not None else "it has not settled yet"
+    except (BadList, OSError) as error:
+        return complaint(error)
+
+
+def complaint(error: BadList | OSError) -> str:
+    """What the operator is told."""
+    return error.strerror or repr(error) if isinstance(error, OSError) else str(error)
+
+
 class FileWatch:
     """Follows one source: each list that is whole goes to `taken`, each that is not to `refused`."""
 
@@ -166,7 +183,7 @@
         try:
             new, candidate = await asyncio.to_thread(self.source.read, time.monotonic())
         except (BadList, OSError) as error:
-            text = error.strerror or repr(error) if isinstance(error, OSError) else str(error)
+            text = complaint(error)
             if self.complaint != text:
                 self.complaint = text
                 await self.refused(self.source.name, text)
--- a/plovertrail/sources/lists.py
+++ b/plovertrail/sources/lists.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import hashlib
-import ipaddress
 import json
 import re
 import tomllib
@@ -16,7 +15,6 @@
 
 import msgspec
 
-from plovertrail.config.tables import read_table
 from plovertrail.decisions.membership import Address, Candidate, Entry
 
 LARGEST = 8 << 20  # bytes of one file
@@ -24,6 +22,8 @@
 NOT_WHOLE = "half written, changed by hand, or never sealed (plovertrail seal FILE)"
 SEAL = re.compile(rb"\n?# sha256: ([0-9a-f]{64})\n\Z")
 JSON_SEAL = re.compile(rb'("sha256"\s*:\s*")([0-9a-f]{64})(")')
+OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+ENDPOINT = re.compile(rf"({OCTET}(?:\.{OCTET}){{3}}):([0-9]{{1,5}})")  # ten times as fast as ipaddress
 PAIR = re.compile(r"(zone|cell|weight|id|drain)=(\S+)")
 
 
@@ -31,7 +31,7 @@
     """A file that is not whole, or no list; the text says why."""
 
 
-class Row(msgspec.Struct, kw_only=True):
+class Row(msgspec.Struct, kw_only=True, forbid_unknown_fields=True, gc=False):
     """A server as JSON and TOML write it."""
 
     id: str
@@ -42,8 +42,8 @@
     drain: bool = False
 
 
-class ListFile(msgspec.Struct, kw_only=True):
-    servers: list[Any]
+class ListFile(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    servers: list[Row]
     version: int = 0
     sha256: str = ""
 
@@ -60,14 +60,13 @@
 
 def endpoint(text: str) -> Address:
     """An IPv4 address and a port. Hazard: a name would be looked up."""
-    host, _, port = text.rpartition(":")
-    try:
-        address = str(ipaddress.IPv4Address(host))
-    except ValueError:
-        raise BadList(f"{text!r} is no address and port") from None
-    if not port.isascii() or not port.isdecimal() or not 0 < int(port[:6]) <= 65_535:
+    found = ENDPOINT.fullmatch(text)
+    if found is None:
+        raise BadList(f"{text!r} is no address and port")
+    port = int(found[2])
+    if not 0 < port <= 65_535:
         raise BadList(f"{text!r} has no port")
-    return address, int(port)
+    return found[1], port
 
 
 def parse(name: str, data: bytes, source: str, checksum: bool) -> Candidate:
@@ -77,15 +76,18 @@
         raise BadList(f"longer than {LARGEST >> 20} MiB")
     try:
         if name.endswith(".json"):
-            found = _json(data, checksum)
+            table = _json(data, checksum)
         else:
             text = _unsealed(data, checksum).decode("utf-8")
             found = tomllib.loads(text) if name.endswith(".toml") else _lines(text)
+            table = msgspec.convert(found, ListFile, strict=True)
     except UnicodeDecodeError as error:
         raise BadList(f"byte {error.start} is not UTF-8") from None
     except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise BadList(f"not {name.rpartition('.')[2].upper()}: {error or 'nested too deeply'}") from None
-    return Candidate(source, *_entries(found))
+    except msgspec.MsgspecError as error:
+        raise BadList(str(error)) from None
+    return Candidate(source, _entries(table), table.version)
 
 
 def _unsealed(data: bytes, checksum: bool) -> bytes:
@@ -102,14 +104,12 @@
     return data
 
 
-def _json(data: bytes, checksum: bool) -> Any:
-    try:
-        found = json.loads(data.decode("utf-8"))
-    except json.JSONDecodeError as error:
-        raise BadList(f"not JSON: {error}") from None
-    if isinstance(found, dict) and (checksum or "sha256" in found):
+def _json(data: bytes, checksum: bool) -> ListFile:
+    """Straight from the bytes. Hazard: the standard library's reader holds all threads up for longer."""
+    found = msgspec.json.decode(data, type=ListFile)
+    if checksum or found.sha256:
         digest = json_digest(data)
-        if digest is None or found.get("sha256") != digest.decode():
+        if digest is None or found.sha256 != digest.decode():
             raise BadList(f"its sha256 is not that of its bytes: {NOT_WHOLE}")
     return found
 
@@ -138,22 +138,11 @@
     return {"servers": rows}
 
 
-def _entries(found: object) -> tuple[tuple[Entry, ...], int]:
-    problems: list[Any] = []
-    table = read_table(ListFile, found, "", problems)
-    if table is None:
-        raise BadList("; ".join(map(str, problems[:5])))
+def _entries(table: ListFile) -> tuple[Entry, ...]:
     if len(table.servers) > MOST_SERVERS:
         raise BadList(f"more than {MOST_SERVERS} servers")
-    try:
-        rows = msgspec.convert(table.servers, list[Row], strict=True)
-        extra = {key for row in table.servers for key in row} - set(Row.__struct_fields__)
-    except msgspec.ValidationError as error:
-        raise BadList(str(error)) from None
-    if extra:
-        raise BadList(f"unknown keys of a server: {', '.join(sorted(map(str, extra))[:5])}")
-    return tuple(Entry(row.id, endpoint(row.address), row.zone, row.cell, row.weight, row.drain)
-                 for row in rows), table.version
+    return tuple([Entry(row.id, endpoint(row.address), row.zone, row.cell, row.weight, row.drain)
+                  for row in table.servers])
 
 
 def sealed(name: str, data: bytes) -> bytes:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -8,6 +8,7 @@
 from click.testing import CliRunner, Result
 
 from plovertrail.cli import main
+from plovertrail.sources.lists import sealed
 from tests.config.test_operator import EXAMPLE
 
 
@@ -82,3 +83,13 @@
     done = call("demo", "--seconds", "1")
     assert done.exit_code == 0 and "curl -i http://127.0.0.1:" in done.output
     assert "answered 200" in done.output and "s3: " in done.output
+
+
+def test_check_tells_of_lists_in_files(tmp_path: Path) -> None:
+    listed, torn, path = tmp_path / "a.list", tmp_path / "b.list", tmp_path / "site.toml"
+    listed.write_bytes(sealed("a.list", b"127.0.0.1:80\n"))
+    torn.write_bytes(b"127.0.0.1:80\n")
+    path.write_text(EXAMPLE.read_text().replace("attempts = 4", f'servers_from = ["{listed}", "{torn}"]'))
+    good = call("check", str(path))
+    assert good.exit_code == 0 and f"{listed}: 1 servers" in good.output
+    assert f"{torn}: no list now: it doesn't end with its checksum" in good.output
--- a/tests/config/test_docs.py
+++ b/tests/config/test_docs.py
@@ -17,6 +17,7 @@
     "[classes.NAME]": operator.ClassTable,
     "[pools.NAME]": operator.PoolTable,
     "[[routes]]": operator.RouteTableRow,
+    "[daemon]": operator.DaemonTable,
 }
 
 
@@ -33,3 +34,11 @@
             assert f'"{default}"' in told[field.encode_name], field.name
         elif isinstance(default, float | int) and not isinstance(default, bool):
             assert re.search(rf"\b{default:g}\b", told[field.encode_name]), field.name
+
+
+def test_every_guard_is_on_the_page_of_lists() -> None:
+    page = (Path(__file__).resolve().parents[2] / "docs" / "lists.md").read_text()
+    text = page.split("## Guards")[1].split("\n## ")[0]
+    rows = dict(re.findall(r"^\| `([a-z_]+)` \| (\S+) \|", text, re.M))
+    assert set(rows) == {field.name for field in msgspec.structs.fields(operator.GuardsTable)}
+    assert rows["most_dropped"] == "`0.5`" and rows["judged_from"] == "`4`" and rows["damping"] == "`true`"
