--- a/plovertrail/cli/seal.py
+++ b/plovertrail/cli/seal.py
@@ -18,7 +18,7 @@
     """Check a list of servers, and put its checksum into it: in one rename, so that no daemon sees half of
     it. Exits with 2 if it is no list."""
     try:
-        data, _, _ = read_bounded(file)
+        data, _ = read_bounded(file)
         whole = sealed(os.path.basename(file), data)
         write(os.path.realpath(file), whole)
     except (BadList, OSError) as error:
--- a/plovertrail/config/operator.py
+++ b/plovertrail/config/operator.py
@@ -100,6 +100,8 @@
     allow_empty: bool = False
     most_dropped: Share = 0.5
     judged_from: Whole = 4
+    allow_older: bool = False
+    largest_weight: Annotated[float, msgspec.Meta(gt=0, le=1_000_000)] = 1000.0
     zones: list[str] = []
     damping: bool = True
 
@@ -419,8 +421,8 @@
         if len(set(table.servers_from)) < len(table.servers_from) or "" in table.servers_from:
             self.wrong(f"{place}.servers_from", "a path is empty or named twice", "name each file once")
         bounds = read_table(GuardsTable, table.guards, f"{place}.guards", self.problems) or GuardsTable()
-        guards = Guards(bounds.allow_empty, bounds.most_dropped, bounds.judged_from,
-                        zones=frozenset(bounds.zones), damping=bounds.damping)
+        guards = Guards(bounds.allow_empty, bounds.most_dropped, bounds.judged_from, bounds.allow_older,
+                        bounds.largest_weight, frozenset(bounds.zones), bounds.damping)
         servers = self.servers(table.servers, place)
         settings = Settings(
             classes=list(own.values()) or [RequestClass("none", 1, 1)], tenants=tenants, instances=instances,
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -108,10 +108,8 @@
 class Daemon:
     """One process's listeners and pools under the setup in force."""
 
-    def __init__(self, setup: operator.Setup, load: Callable[[str], operator.Setup] = operator.load,
-                 seeds: Callable[[], int] = random_seed) -> None:
+    def __init__(self, setup: operator.Setup, seeds: Callable[[], int] = random_seed) -> None:
         self.loop = asyncio.get_running_loop()
-        self.load = load
         self.seeds = seeds
         self.host = Host()
         self.pools: dict[str, RunningPool] = {}
@@ -219,7 +217,7 @@
         path = self.generation.setup.path
         try:
             # hazard: a long file takes long to check, and every open request would wait for it
-            setup = await asyncio.to_thread(self.load, path)
+            setup = await asyncio.to_thread(operator.load, path)
             known = frozenset(key for pool in self.pools.values() for key in pool.config.lists)
             self.apply(setup, await asyncio.to_thread(read_lists, setup, known))
         except ConfigError as error:
--- a/plovertrail/decisions/membership.py
+++ b/plovertrail/decisions/membership.py
@@ -52,6 +52,7 @@
     allow_empty: bool = False
     most_dropped: float = 0.5  # share of the servers that one list may drop or move
     judged_from: int = 4  # with fewer servers the share says nothing
+    allow_older: bool = False  # a version may go backwards
     largest_weight: float = 1000.0
     zones: frozenset[str] = frozenset()  # empty: any
     damping: bool = True
@@ -149,7 +150,7 @@
     if not candidate.entries and not guards.allow_empty:
         found.append("the list is empty")
     if before is not None:
-        if 0 < candidate.version < before.version:
+        if 0 < candidate.version < before.version and not guards.allow_older:
             found.append(f"its version {candidate.version} goes backwards, from {before.version}")
         listed = {(entry.id, entry.address) for entry in candidate.entries}
         dropped = sum(1 for entry in before.entries if (entry.id, entry.address) not in listed)
--- a/plovertrail/sources/files.py
+++ b/plovertrail/sources/files.py
@@ -25,8 +25,8 @@
 Refused = Callable[[str, str], Awaitable[None]]
 
 
-def read_bounded(path: str) -> tuple[bytes, Signature, float]:
-    """A plain file's bytes, its signature and the age of its times; raises BadList or OSError."""
+def read_bounded(path: str) -> tuple[bytes, Signature]:
+    """A plain file's bytes and its signature; raises BadList or OSError."""
     # hazard: opening a FIFO waits for a writer, and reading a device may never end
     fd = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
     try:
@@ -45,7 +45,7 @@
             raise BadList("it changed while it was read")
     finally:
         os.close(fd)
-    return b"".join(parts), signature(found), time.time() - found.st_mtime
+    return b"".join(parts), signature(found)
 
 
 def signature(found: os.stat_result) -> Signature:
@@ -101,7 +101,7 @@
             if old is not None and self._surely_same(name, old):
                 data, now_signature = old.data, old.signature
             else:
-                data, now_signature, _ = read_bounded(name)
+                data, now_signature = read_bounded(name)
             if old is None or old.data != data:
                 changed = True
                 old = Seen(now_signature, data, now)
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -106,6 +106,19 @@
     assert take(after, listed(1, 2, 3, 4, version=7))[2].loud == ()  # and a good list ends it
 
 
+def test_guards_can_be_lifted() -> None:
+    state = take(begun(1, 2, 3, 4), listed(1, 2, 3, 4, version=7))[0]
+    for guards, candidate in (
+        (Guards(allow_empty=True), listed(version=8)),
+        (Guards(most_dropped=1.0), listed(9, version=8)),
+        (Guards(judged_from=5), listed(9, version=8)),
+        (Guards(allow_older=True), listed(1, 2, 3, 4, version=6)),
+        (Guards(largest_weight=1e6), Candidate("file", (*listed(1, 2, 3).entries, entry(4, weight=1e5)), 8)),
+    ):
+        assert reduce(state, candidate, 0, guards)[0].refused == {}
+        assert reduce(state, candidate, 0, GUARDS)[0].refused
+
+
 def test_an_operators_own_list_may_drop_what_it_will() -> None:
     state = begun(1, 2, 3, 4)
     inline = Candidate("file", (), by_operator=True)
