--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -135,7 +135,7 @@
         check_descriptors(setup)
         sockets = self._bind(setup)
         # from here on nothing fails
-        before, self.pools = self.pools, {}
+        before, pools = dict(self.pools), dict[str, RunningPool]()
         replaced = []
         for name, config in setup.pools.items():
             old = before.pop(name, None)
@@ -152,9 +152,10 @@
             else:
                 pool.config = config
                 roster.configure(config.servers, sources, config.guards, config.home_zone, fresh)
-            self.pools[name] = pool
-        pools: dict[str, ServerPool] = {name: pool.pool for name, pool in self.pools.items()}
-        self.current.generation = make_generation(self.generation.number + 1, setup, pools)
+            pools[name] = pool
+        self.pools = pools  # till here the old ones, which tell what servers are known already
+        modules: dict[str, ServerPool] = {name: pool.pool for name, pool in pools.items()}
+        self.current.generation = make_generation(self.generation.number + 1, setup, modules)
         self._move_listeners(setup, sockets)
         for gone in [*before.values(), *replaced]:
             gone.retire(self.host)
@@ -196,6 +197,7 @@
         return sockets
 
     def _move_listeners(self, setup: operator.Setup, sockets: dict[str, socket.socket]) -> None:
+        self.closing = [front for front in self.closing if front.count()]
         before, self.fronts = self.fronts, {}
         for listener in setup.listeners:
             front = before.get(listener.name)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -294,6 +294,22 @@
     run(test)
 
 
+def test_a_server_that_moves_to_a_new_pool_is_no_newcomer(tmp_path: Path) -> None:
+    async def test() -> None:
+        known, new = WebServer(), WebServer()
+        await new.start()
+        async with running(tmp_path, {"main": [known]}) as it:
+            text = it.path.read_text().replace("[pools.main]", "[pools.other]")
+            text = text.replace('["main"]', '["other"]')
+            row = f'{{ id = "main0", address = "{known.address}" }}'
+            assert await it.change(text.replace(row, f'{row}, {{ id = "new", address = "{new.address}" }}'))
+            members = it.daemon.pools["other"].roster.state.members
+            assert members["main0"].came_us == 0 < members["new"].came_us
+        new.stop()
+
+    run(test)
+
+
 def test_changed_settings_start_a_pool_anew_and_its_servers_stay_as_warm_as_they_were(tmp_path: Path) -> None:
     async def test() -> None:
         async with held(2) as (servers, let_go), running(tmp_path, {"main": servers}) as it:
