A list that a guard refused is judged again when the guards change; one free_port

Found by reading the change again: docs/lists.md says to raise most_dropped and SIGHUP, but a list already read was not new, so it stayed refused until its file changed. A test fails without the mend (tried). Three copies of free_port are one, in standins/.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -25,7 +25,6 @@
 from contextlib import contextmanager
 from pathlib import Path
 
-from benchmarks.path_cost import free_port
 from benchmarks.report import Bar, close, table
 from plovertrail.clock import clock_us
 from plovertrail.config.operator import load
@@ -34,6 +33,7 @@
 from plovertrail.sources import state_file
 from plovertrail.sources.files import FileWatch
 from plovertrail.sources.lists import parse, sealed
+from standins.ports import free_port
 from standins.web import OK, WebServer, slowly
 
 SIZES = (100, 1_000, 10_000)
--- a/benchmarks/path_cost.py
+++ b/benchmarks/path_cost.py
@@ -27,6 +27,7 @@
 from typing import Any
 
 from benchmarks.report import Bar, close, table
+from standins.ports import free_port
 
 SERVERS = 15
 CONNECTIONS = (4, 16)
@@ -88,12 +89,6 @@
         os.sched_setaffinity(0, {cpus[cpu % len(cpus)]})
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 # The children
 
 
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -21,10 +21,10 @@
 from collections import Counter
 from pathlib import Path
 
-from benchmarks.path_cost import free_port
 from benchmarks.report import Bar, close, table
 from plovertrail.config.operator import load
 from plovertrail.daemon import Daemon
+from standins.ports import free_port
 from standins.web import ERROR, NOT_RUN, OK, Arrival, Line, WebServer
 
 DEADLINE_S = 1.0
--- a/plovertrail/cli/demo.py
+++ b/plovertrail/cli/demo.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import signal
-import socket
 import tempfile
 from contextlib import suppress
 
@@ -14,6 +13,7 @@
 from plovertrail.config import operator
 from plovertrail.daemon import Daemon
 from plovertrail.logs import log_to_stderr
+from standins.ports import free_port
 from standins.web import OK, WebServer, always
 
 FILE = """\
@@ -91,12 +91,6 @@
         click.echo(f"  {server.name}: {server.count} requests")
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 async def trouble(server: WebServer) -> None:
     """Stop a server and start it again, over and over."""
     port = server.port
--- a/plovertrail/roster.py
+++ b/plovertrail/roster.py
@@ -60,6 +60,9 @@
         """Follow a new setup; `fresh` has what the sources that are new hold. Hazard: a server that moves
         from one source to another is in neither for a moment, and would come back cold; so what is new goes
         first, and what the operator's own file no longer lists goes last."""
+        if guards != self.guards:
+            for watch in self.watches.values():
+                watch.judge_again()
         self.guards, self.home_zone = guards, home_zone
         self.order = (INLINE, *(source.name for source in sources))
         self.unreadable = {name: told for name, told in self.unreadable.items() if name in self.order}
--- a/plovertrail/sources/files.py
+++ b/plovertrail/sources/files.py
@@ -168,6 +168,7 @@
         self.taken = taken
         self.refused = refused
         self.poke = asyncio.Event()
+        self.again = False  # the list is to be passed on though it is not new: it may be judged otherwise now
         self.complaint = ""  # the last one that was passed on, if no list has been since
         self.tasks = [asyncio.create_task(self._poll()), asyncio.create_task(self._notified())]
 
@@ -191,8 +192,8 @@
             # hazard: a fault with one reading would end the watch, and with it all drains told by the file
             log.exception("%s can't be read", self.source.name)
         else:
-            if candidate is not None and (new or self.complaint):
-                self.complaint = ""
+            if candidate is not None and (new or self.again or self.complaint):
+                self.again, self.complaint = False, ""
                 await self.taken(candidate)
 
     async def _notified(self) -> None:
@@ -207,6 +208,11 @@
         except Exception as error:
             log.info("%s: no notifications, polled only: %r", self.source.name, error)
 
+    def judge_again(self) -> None:
+        """The guards have changed. Hazard: a list that they refused is not new, and would stay refused."""
+        self.again = True
+        self.poke.set()
+
     def stop(self) -> None:
         for task in self.tasks:
             task.cancel()
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -11,8 +11,9 @@
 
 from plovertrail.config.operator import load
 from plovertrail.daemon import Daemon
+from standins.ports import free_port
 from standins.web import WebServer
-from tests.net import PATIENCE_S, free_port
+from tests.net import PATIENCE_S
 
 CLASSES = """
 [classes.read]
--- a/tests/net.py
+++ b/tests/net.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import json
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -15,6 +14,7 @@
 from plovertrail.__main__ import serve
 from plovertrail.config.platform import Config
 from plovertrail.decisions.interface import RequestClass, Settings
+from standins.ports import free_port
 
 PATIENCE_S = 20.0  # no test waits for a time-out on purpose; this only ends one that hangs
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
@@ -141,12 +141,6 @@
             writer.transport.abort()
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 SETTINGS: dict[str, Any] = {
     "accounts": [], "areas": ["a", "b"], "granularity": 5000,
     "bounds": {"conn-idle": 5000000, "dial-timeout": 200000, "most-tries": 4, "cancel": True, "probes": True,
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -15,10 +15,11 @@
 
 import pytest
 
+from standins.ports import free_port
 from standins.web import ERROR, NOT_RUN, OK, Arrival, Line, Script, WebServer, always, breaking, never, slowly
 from tests.config.test_operator import BROKEN, GOOD
 from tests.daemons import Client, Reply, Running, message, run, running, site
-from tests.net import PATIENCE_S, free_port, until
+from tests.net import PATIENCE_S, until
 
 
 def through(*pools: str) -> str:
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -20,9 +20,10 @@
 from plovertrail.config.operator import load
 from plovertrail.daemon import Daemon
 from plovertrail.sources.lists import sealed
+from standins.ports import free_port
 from standins.web import OK, Arrival, Line, WebServer, slowly
 from tests.daemons import CLASSES, ROUTES, Client, Running, message, run
-from tests.net import PATIENCE_S, free_port, until
+from tests.net import PATIENCE_S, until
 
 
 def write_list(path: Path, servers: dict[str, WebServer], **more: object) -> float:
@@ -441,3 +442,24 @@
         server.stop()
 
     run(test)
+
+
+def test_a_list_that_a_guard_refused_is_taken_once_the_guard_is_lifted(tmp_path: Path) -> None:
+    async def test() -> None:
+        servers = {name: WebServer(port=9 + number) for number, name in enumerate("abcd")}
+        path = tmp_path / "servers.json"
+        write_list(path, servers)
+        site = Site(tmp_path)
+        it = await site.start()
+        write_list(path, {"a": servers["a"]})
+        await until(
+            lambda: any("drops or moves 3 of 4" in text for text in it.daemon.pools["main"].roster.loud())
+        )
+        assert set(members(it)) == set("abcd")
+        lifted = "[pools.main.guards]\nmost_dropped = 1.0\n[[routes]]"
+        assert await it.change(it.path.read_text().replace("[[routes]]", lifted, 1))
+        await until(lambda: set(members(it)) == {"a"})
+        assert not it.daemon.pools["main"].roster.loud()
+        await site.stop()
+
+    run(test)
