--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -153,7 +153,8 @@
                            timeout=60).stdout.split()
     assert "plovertrail.fronts.application" in found
     tops = {name.split(".")[0] for name in found}
-    assert not tops & {"re2", "msgspec", "click", "tomllib", "wsproto", "h11", "standins", "simulator", "http.client"}
+    assert not tops & {"re2", "msgspec", "click", "tomllib", "wsproto", "h11", "standins", "simulator",
+                        "http.client"}
     unwanted = ("plovertrail.cli", "plovertrail.daemon", "plovertrail.config.operator",
                 "plovertrail.fronts.ordinary", "plovertrail.fronts.sockets", "plovertrail.websocket",
                 "plovertrail.decisions.routes", "plovertrail.decisions.sockets")
