--- /dev/null
+++ b/benchmarks/decision_cost.py
@@ -0,0 +1,138 @@
+"""What a request costs the decision module as lists grow: `python -m benchmarks.decision_cost`.
+
+A Balancer on a virtual clock, with 15 to 10,000 servers: requests arrive, are sent, and answered after a
+drawn time; its timers fire when they are due. Calm: 60 a second, answered in 40 ms. Busy: 2,000 a second, so
+that it has a use for many servers at once. Short: every server is resting or full, so that most are refused.
+In turns with the module as it was when each request went through all servers (reference_balance.py), in
+one run; microseconds of CPU a request, with all its events, the median of the rounds. Bars: 10,000 servers at
+most 1.5 times 15; 15 at most half of the reference's.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import random
+import statistics
+import sys
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from benchmarks import reference_balance
+from benchmarks.report import Bar, close, table
+from plovertrail.decisions import balance
+from plovertrail.decisions import interface as api
+
+SIZES = (15, 150, 1_500, 10_000)
+ROUNDS = 3
+# arrivals a second, and the mean time of an answer; in a shortage, arrivals a second for each server
+LOADS = {"calm": (60.0, 40_000.0), "busy": (2_000.0, 40_000.0), "short": (20.0, 800_000.0)}
+WARM_UP_REQUESTS = 300
+SLOWEST_RUN_US = 3e6  # what a round of the reference may take on a long list
+
+
+class Module(Protocol):
+    """A Balancer, today's or the reference."""
+
+    def handle(self, now_us: int, event: api.Event) -> list[api.Action]: ...
+
+
+Make = Callable[[api.Settings, int, int], Module]
+MODULES: dict[str, Make] = {"module": balance.Balancer, "reference": reference_balance.Balancer}
+
+
+class Run:
+    """One module, its clock, and what is due."""
+
+    def __init__(self, make: Make, servers: int, load: str, seed: int) -> None:
+        self.rng = random.Random(seed)
+        a_second, self.answer_us = LOADS[load]
+        self.gap_us = 1e6 / (a_second * servers if load == "short" else a_second)
+        self.now_us = 1_000_000
+        kind = api.RequestClass("read", 300_000, 1_500_000, late_worth=0.3)
+        settings = api.Settings([kind], max_attempts=3, cancel=True, max_retry_after_us=1_000_000)
+        self.module = make(settings, seed, self.now_us)
+        self.due: list[tuple[int, int, api.Event]] = []
+        self.number = 0
+        self.attempts: dict[int, int] = {}
+        entries = [api.Upstream(ident) for ident in range(1, servers + 1)]
+        self.tell(api.UpstreamsUpdated(api.ListKind.FULL, entries))
+
+    def tell(self, event: api.Event) -> None:
+        for action in self.module.handle(self.now_us, event):
+            if isinstance(action, api.Send):
+                number = self.attempts[action.request] = self.attempts.get(action.request, -1) + 1
+                took_us = int(self.rng.expovariate(1 / self.answer_us))
+                self.later(
+                    took_us,
+                    api.AttemptEnded(action.request, number, action.upstream, api.Outcome.OK, took_us, True),
+                )
+            elif isinstance(action, api.SetTimer):
+                self.later(action.at_us - self.now_us, api.TimerFired(action.token))
+
+    def later(self, after_us: int, event: api.Event) -> None:
+        self.number += 1
+        heapq.heappush(self.due, (self.now_us + max(0, after_us), self.number, event))
+
+    def play(self, requests: int) -> float:
+        """Microseconds of CPU a request."""
+        began = time.process_time()
+        arrives_us = float(self.now_us)
+        for _ in range(requests):
+            arrives_us += self.rng.expovariate(1 / self.gap_us)
+            while self.due and self.due[0][0] <= arrives_us:
+                at_us, _, event = heapq.heappop(self.due)
+                self.now_us = max(self.now_us, at_us)
+                self.tell(event)
+            self.now_us = max(self.now_us, int(arrives_us))
+            self.number += 1
+            self.tell(api.RequestArrived(self.number, self.now_us + 1_500_000))
+        return (time.process_time() - began) / requests * 1e6
+
+
+def measure(requests: int) -> dict[tuple[str, int, str], float]:
+    """Microseconds a request by load, size and module."""
+    found: dict[tuple[str, int, str], list[float]] = {}
+    for load in LOADS:
+        for size in SIZES:
+            # a shortage begins when all servers have something to do
+            warm_up = 3 * size if load == "short" else WARM_UP_REQUESTS
+            for name, make in MODULES.items():
+                run = Run(make, size, load, seed=1)
+                took = run.play(min(warm_up, WARM_UP_REQUESTS))
+                if name == "reference" and took * warm_up > 2 * SLOWEST_RUN_US:
+                    continue  # it would take minutes; told as missing
+                if warm_up > WARM_UP_REQUESTS:
+                    run.play(warm_up - WARM_UP_REQUESTS)
+                for _ in range(ROUNDS):
+                    count = max(20, min(requests, int(SLOWEST_RUN_US / took)))
+                    found.setdefault((load, size, name), []).append(run.play(count))
+    return {key: statistics.median(taken) for key, taken in found.items()}
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--requests", type=int, default=4_000, help="a round")
+    options = parser.parse_args()
+    found = measure(options.requests)
+    rows: list[list[object]] = []
+    for load, size, name in found:
+        if name == "module":
+            ours, before = found[load, size, name], found.get((load, size, "reference"), 0.0)
+            beside = [f"{before:.0f}", ours / before] if before else ["too slow", ""]
+            rows.append([f"{load}, {size:,} servers", f"{ours:.0f}", *beside])
+    table(["", "us a request", "reference", "ratio"], rows)
+    bars = []
+    for load in LOADS:
+        least = found[load, SIZES[0], "module"]
+        bars.append(Bar(f"{load}: 10,000 servers beside 15", found[load, SIZES[-1], "module"] / least, 1.5))
+        bars.append(Bar(f"{load}: 15 beside the reference", least / found[load, SIZES[0], "reference"], 0.5))
+    figures: dict[str, object] = {
+        f"{load}, {size}, {name}": round(took, 1) for (load, size, name), took in found.items()
+    }
+    return close("decision_cost", figures, bars)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/reference_balance.py
@@ -0,0 +1,577 @@
+"""All decisions on requests. Its settings, events and actions: plovertrail/decisions/interface.py.
+
+Everything is slots (docs/design.md): a request takes a free slot of a random upstream, waits in the ONE
+buffer when none is free, is refused when that is taken, and is reissued through a slot.
+"""
+
+import heapq
+import math
+import random
+
+from plovertrail.decisions import interface as api
+
+MOST_SLOTS = 8  # no upstream gets more from one sidecar, however quick its answers
+NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
+INSTANT_FAULTS = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.ERROR, api.Outcome.RESET)
+ANSWERED = (api.Outcome.OK, api.Outcome.SPOILT)  # it has done the work, and its time tells of its load
+# hazard: an upstream failing a part would lose them all
+REISSUED = (*INSTANT_FAULTS, api.Outcome.SPOILT, api.Outcome.TIMEOUT)
+FAULT_MEMORY = 4  # attempts that make up an upstream's share of faults
+FAULT_SHARE = 0.35  # two faults in three attempts: more than what strikes all upstreams alike does by chance
+SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
+GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
+FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
+TENANT_MEMORY = 200  # arrivals: enough to tell a tenant at twice its share from chance, soon forgotten
+COLD_CARE = 1.3  # a cold upstream gets so many times less than its part: its work comes in lumps
+FEWEST_IN_USE = 4  # upstreams whose slots are open to a sidecar with next to no traffic
+A_SECOND_EACH = 1.5  # sends a second that call for one more: fewer teach nothing, more crowd it
+SLOWEST_PACE = 4.0  # an answer that takes longer beside the usual one counts as this
+PACE_MEMORY = 4  # answers that make up an upstream's pace
+OVERTAKEN = 4  # later sends answered before it tell an attempt that is lost from one that waits its turn
+SILENCE_MEMORY = 16  # attempts of a class that make up the share of them that an upstream leaves unanswered
+SILENCE_BORNE = 0.1  # at this share it is drawn a quarter as often: far more than is late by chance
+MUTE = 3  # attempts of a class unanswered in a row from which on it rests there between sends
+LONGEST_MUTE = 5  # as if so many
+MOST_MUTE = 2 / 3  # hazard: with more upstreams than this resting the fleet is slow, and none rests
+ADMIT_GAIN = 2.4  # a second of slow answers cuts what is admitted to a tenth; slower, queues fill first
+LEAST_ADMITTED = 0.1  # hazard: where service itself has slowed, letting in less mends nothing
+RATE_MEMORY_US = 5_000_000
+RETRY_SHARE = 0.2  # reissues a first send earns: enough for a fifth of the fleet to fail every attempt
+MOST_RETRIES = 5.0  # reissues in hand after a calm spell
+LOG_GAP_US = 1_000_000  # a line a second at most, however many upstreams change
+FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
+
+
+class Pool:
+    """Upstreams thinned together: all, or, where crossing zones costs, this zone's and the others'."""
+
+    def __init__(self, now_us: int) -> None:
+        self.admitted = 1.0  # part of the draws that may take a slot: falls while answers are slow all over
+        self.credit = 1.0  # draws admitted and not yet used
+        self.load = 0.0  # its answers' times of late: 1 = half the aim
+        self.served = 0.0  # answers so far, and a tenth of what was admitted
+        self.in_use: list[Server] = []  # upstreams whose slots are open; the others' stay closed till needed
+        self.rate = 0.0  # sends a second, of late
+        self.rated_us = now_us
+
+
+class Reissues:
+    """The budget of reissues; several pools of one program may share one."""
+
+    def __init__(self) -> None:
+        self.in_hand = MOST_RETRIES
+
+    def count(self, first: bool) -> None:
+        """A send: a first one earns a part of a reissue, a further one is a reissue."""
+        self.in_hand = min(MOST_RETRIES, self.in_hand + (RETRY_SHARE if first else -1.0))
+
+
+class Server:
+    """What this sidecar knows of one upstream."""
+
+    def __init__(self, entry: api.Upstream, pool: Pool, classes: int) -> None:
+        self.entry = entry
+        self.pool = pool
+        self.used = 0  # slots taken by this sidecar's sends
+        self.out: list[Attempt] = []  # its attempts that have not ended, in the order of their sends
+        # by class, as an upstream may be well for all but some: the share of attempts that had no answer in
+        # time, smoothed; how many of late in a row; and till when the class rests there
+        self.silence = [0.0] * classes
+        self.mute = [0] * classes
+        self.mute_until_us = [0] * classes
+        self.window = 1.0  # slots open while it is well; below 1 the one slot rests between sends
+        self.rest_until_us = 0
+        self.next_cold = 0.0  # while it is cold, it waits till this sidecar has seen so many served
+        self.pace = 1.0  # time of its answers beside those of the others, smoothed
+        self.slow_start = False  # its slots open fast until its first slow answer or fault
+        self.faults = 0.0  # share of its attempts that failed at once or spoilt, smoothed
+        self.rests = False  # as last logged
+
+
+class Attempt:
+    def __init__(self, server: Server, class_index: int, now_us: int) -> None:
+        self.server = server
+        self.entry = server.entry  # as it was listed then
+        self.class_index = class_index
+        self.sent_us = now_us
+        self.overtaken = 0  # answers of its upstream to what was sent later
+        self.passed = False  # one of these was to its own class
+        self.silent = False  # it has had no answer for longer than one takes
+        self.lost = False  # and holds no slot any more
+        self.ended: api.Outcome | None = None  # None while it is out
+
+
+class Request:
+    def __init__(self, event: api.RequestArrived, now_us: int) -> None:
+        self.event = event
+        self.arrived_us = now_us
+        self.attempts: list[Attempt] = []
+        self.done = self.streaming = False
+
+    def out(self) -> int:
+        return sum(1 for attempt in self.attempts if attempt.ended is None)
+
+    def attempts_made(self) -> int:
+        return self.event.earlier_attempts + len(self.attempts)
+
+    def first_that_may_have_run(self) -> Attempt | None:
+        return next((attempt for attempt in self.attempts if attempt.ended not in NEVER_RAN), None)
+
+
+class Balancer:
+    def __init__(self, settings: api.Settings, seed: int, now_us: int,
+                 reissues: Reissues | None = None) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.now_us = now_us
+        self.actions: list[api.Action] = []
+        self.servers: dict[int, Server] = {}  # the ready ones, in the order listed
+        self.requests: dict[int, Request] = {}
+        self.buffer: Request | None = None
+        self.mean_us = [c.aim_us / 4 for c in settings.classes]  # of each class's answers; at first a guess
+        self.pools = [Pool(now_us), Pool(now_us)]  # drawn from in this order; the second may stay empty
+        self.reissues = reissues or Reissues()
+        self.short_us = 0  # when a request last found no free slot
+        self.allowed_per_s = max(1.0, sum(t.allowance_per_s for t in settings.tenants))
+        self.tenant_seen = [0.0 for _ in settings.tenants]  # arrivals of each, the old ones fading
+        self.unsent = 0.0  # share of arrivals that found no free slot, the old ones fading
+        self.overloaded = False  # as last logged: from a fifth unsent until one in fifty
+        self.next_log_us = now_us
+        self.wakeups: list[tuple[int, str, int, int]] = []  # (when, what, request, attempt); a heap
+        self.armed_us = self.list_failures = 0  # armed: the next timer already asked for; 0 = none
+        self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
+        self.ask_list_at(now_us)
+
+    def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
+        self.now_us = now_us
+        if isinstance(event, api.AttemptEnded):
+            self.on_attempt_ended(event)
+        elif isinstance(event, api.RequestArrived):
+            self.on_arrival(event)
+        elif isinstance(event, api.TimerFired):
+            if self.armed_us <= now_us:  # hazard: a stale timer that armed another would never die out
+                self.armed_us = 0
+            self.run_due()
+        elif isinstance(event, api.RequestGone) and event.request in self.requests:
+            self.close(self.requests[event.request])
+        elif isinstance(event, api.StreamStarted) and event.request in self.requests:
+            self.requests[event.request].streaming = True
+        elif isinstance(event, api.UpstreamsUpdated):
+            self.on_list(event)
+        self.fill_from_buffer()
+        self.arm()
+        actions, self.actions = self.actions, []
+        return actions
+
+    def on_arrival(self, event: api.RequestArrived) -> None:
+        if event.request in self.requests:
+            return
+        request = self.requests[event.request] = Request(event, self.now_us)
+        if event.tenant < len(self.tenant_seen):
+            self.tenant_seen = [seen * (1.0 - 1.0 / TENANT_MEMORY) for seen in self.tenant_seen]
+            self.tenant_seen[event.tenant] += 1.0
+        self.place(request)
+        self.unsent += (float(not request.attempts) - self.unsent) / TENANT_MEMORY
+        over = self.unsent > (0.02 if self.overloaded else 0.2)
+        if over != self.overloaded and self.log("overload begins" if over else "overload ends"):
+            self.overloaded = over
+
+    def log(self, text: str) -> bool:
+        if self.now_us < self.next_log_us:
+            return False  # the change is told later, if it lasts
+        self.next_log_us = self.now_us + LOG_GAP_US
+        self.actions.append(api.Log(text))
+        return True
+
+    def place(self, request: Request) -> None:
+        """Through a free slot, else into the buffer, else refused."""
+        if self.now_us >= self.latest_start_us(request):
+            self.finish(request)
+            return
+        for pool in self.pools:
+            pool.credit = min(pool.credit + pool.admitted, 2.0)
+            pool.served += 0.1 * pool.admitted  # if all are cold, nothing else would open their slots
+        server = self.draw(request)
+        if server is not None:
+            self.send(request, server)
+            return
+        self.short_us = self.now_us
+        if self.may_send(request) and (self.buffer is None or self.value(request) > self.value(self.buffer)):
+            # hazard: in a shortage the bulk of cheap requests would keep the dear ones out of every slot
+            if self.buffer is not None:
+                self.finish(self.buffer)
+            self.buffer = request
+            until_us = self.now_us + self.half_aim_us(request.event.class_index)
+            self.wake(min(until_us, self.latest_start_us(request)), "buffer", request.event.request)
+        else:
+            self.finish(request)
+
+    def value(self, request: Request) -> float:
+        """The worth of a slot's time given to this request; what is beyond its tenant's share counts less.
+        The share is judged among the tenants seen here: of total rates a sidecar knows nothing."""
+        s, worth = self.settings, self.class_of(request).worth
+        if not s.worth_by_work:
+            worth /= self.mean_us[request.event.class_index]
+        if request.event.tenant < len(s.tenants):
+            allowed = s.tenants[request.event.tenant].allowance_per_s / self.allowed_per_s
+            seen = self.tenant_seen[request.event.tenant] / sum(self.tenant_seen)
+            worth *= s.over_share_worth + (1.0 - s.over_share_worth) * min(1.0, allowed / seen)
+        return worth
+
+    def class_of(self, request: Request) -> api.RequestClass:
+        return self.settings.classes[request.event.class_index]
+
+    def half_aim_us(self, class_index: int) -> int:
+        """The delay threshold, and the time of a slow answer: the other half is left for a new try."""
+        return self.settings.classes[class_index].aim_us // 2
+
+    def useful_until_us(self, request: Request) -> int:
+        """When an answer stops being worth anything."""
+        kind = self.class_of(request)
+        late = kind.deadline_us if kind.late_worth > 0 else kind.aim_us
+        return min(request.event.due_us, request.arrived_us + late)
+
+    def latest_start_us(self, request: Request) -> int:
+        """An attempt that starts later is not expected back in time to be of use. Hazard: after an outage
+        that every answer outlasted, nothing would be tried again; so at most half the aim is left for it."""
+        answer_us = min(self.mean_us[request.event.class_index], self.half_aim_us(request.event.class_index))
+        return self.useful_until_us(request) - int(answer_us)
+
+    def fill_from_buffer(self) -> None:
+        request = self.buffer
+        server = self.draw(request) if request is not None else None
+        if request is not None and server is not None:
+            self.buffer = None
+            self.send(request, server)
+
+    def finish(self, request: Request) -> None:
+        """Rule 1 and 2, the one place of final answers: one each; refused only if nothing may have run."""
+        kind = self.class_of(request)
+        harmless = (kind.effect == "idempotent" or request.first_that_may_have_run() is None
+                    or (kind.effect == "deduplicated" and kind.group == "all"))
+        self.close(request)
+        ident, after_us = request.event.request, self.mean_us[request.event.class_index]
+        # about one answer's time, spread lest refused clients return together
+        after_us = min(after_us * (0.5 + self.random.random()), self.settings.max_retry_after_us)
+        advice_us = int(after_us) if self.settings.retry_after else 0
+        self.actions.append(api.Refuse(ident, advice_us) if harmless else api.Fail(ident))
+
+    def close(self, request: Request) -> None:
+        request.done = True
+        if self.buffer is request:
+            self.buffer = None
+        if request.out() == 0:
+            self.requests.pop(request.event.request, None)
+
+    def open_slots(self, server: Server) -> int:
+        """How many of this sidecar's sends an upstream may have now; the one place where health lives."""
+        cold = self.warmth(server) < 1.0
+        if self.now_us < server.rest_until_us or (cold and server.pool.served < server.next_cold):
+            return 0
+        return 1 if cold else max(1, int(server.window))
+
+    def judge(self, attempt: Attempt, elapsed_us: int, class_index: int) -> None:
+        """How an attempt's end opens or closes its upstream's slots."""
+        server, pool, outcome = attempt.server, attempt.server.pool, attempt.ended
+        slow_us = self.half_aim_us(class_index)
+        # hazard: what spoils answers and breaks connections may do so on all upstreams alike, and one such
+        # fault would shut each of them; only turning work away tells at once of the upstream itself
+        fault = outcome in INSTANT_FAULTS or outcome is api.Outcome.SPOILT
+        server.faults += (float(fault) - server.faults) / FAULT_MEMORY
+        faulty = outcome is api.Outcome.FULL or (fault and server.faults > FAULT_SHARE)
+        if fault and not faulty and outcome is not api.Outcome.SPOILT:
+            return  # and its time tells nothing
+        load = min(2.0, elapsed_us / slow_us) if outcome in ANSWERED else 2.0
+        pace = SLOWEST_PACE if faulty else elapsed_us / self.mean_us[class_index]
+        server.pace += (min(max(pace, 0.1), SLOWEST_PACE) - server.pace) / PACE_MEMORY
+        if outcome in (*ANSWERED, api.Outcome.TIMEOUT, api.Outcome.FULL):
+            # hazard: a light sidecar never fills its slots; they hold nothing back when all are slow; draws
+            # are thinned, at once as queues stay for seconds, but not for one slow answer among quick ones
+            pool.load += (load - pool.load) / 8
+            gain = ADMIT_GAIN / max(1.0, pool.rate) if load < FULL_LOAD or pool.load > 0.5 else 0.0
+            pool.admitted *= max(0.3, 1.0 + gain * (FULL_LOAD - load))
+            pool.admitted = min(1.0, max(pool.admitted, LEAST_ADMITTED))
+        # hazard: a heavy request is slow by itself; many answers are judged together, each for a little
+        step = GROWTH * (FULL_LOAD - load) / max(server.window, 1.0)
+        server.slow_start = server.slow_start and step > 0.0 and not faulty
+        if server.slow_start:
+            # hazard: at GROWTH a sidecar that starts in a busy hour would refuse a third of the first ones
+            step = 1.0 - load / FULL_LOAD
+        if faulty:
+            # hazard: what fails at once frees its slot at once and so would draw ever more
+            server.window /= 2
+        elif step < 0.0:
+            # hazard: after an outage all would rest for long, so slow answers leave the one slot
+            server.window = max(server.window * (1.0 + step), min(server.window, 1.0))
+        # hazard: slots opened without need (none for two aims), by many sidecars above all, choke bursts
+        elif server.window < 1.0 or attempt.sent_us <= self.short_us + 4 * slow_us:
+            server.window += min(server.window, step)
+        server.window = min(max(server.window, SMALLEST_WINDOW), float(MOST_SLOTS))
+        if server.window < 1.0:
+            # hazard: beside answers of seconds, short rests leave a choked upstream crowded
+            busy_us = max(min(self.mean_us[class_index], slow_us), min(elapsed_us, 2 * slow_us))
+            rest_us = busy_us * (1.0 / server.window - 1.0) * (0.5 + self.random.random())
+            server.rest_until_us = self.now_us + int(rest_us)
+        if server.window < 0.5 and server in pool.in_use:
+            pool.in_use.remove(server)  # another takes its place; it may come back when its rest is over
+            self.actions.append(api.CloseIdle(server.entry.id))
+        rests = server.window < (1.0 if server.rests else 0.25)
+        change = "rests" if rests else "is back"
+        if rests != server.rests and self.log(f"upstream {server.entry.id} {change}"):
+            server.rests = rests
+
+    def warmth(self, server: Server) -> float:
+        """Rule 4: the share of its capacity that an upstream surely has. Hazard: calling it warm any sooner
+        lets in all sidecars at one moment, and together they push it over."""
+        s, age_us = self.settings, self.now_us - server.entry.started_us
+        if server.entry.started_us == 0 or age_us >= s.warm_up_us:
+            return 1.0
+        return s.cold_share + (1.0 - s.cold_share) * max(0, age_us) / s.warm_up_us
+
+    def pace_cold(self, server: Server, part: float) -> None:
+        """Rule 4: a cold upstream gets its part, by warmth, of what this sidecar sees served by its pool; and
+        the fleet serves no more than it can, however much is asked of it."""
+        whole = sum(self.warmth(other) for other in self.servers.values() if other.pool is server.pool)
+        server.next_cold = server.pool.served + part * COLD_CARE * whole / self.warmth(server)
+
+    def draw(self, request: Request) -> Server | None:
+        """A random free slot, at one of the few upstreams that this sidecar's traffic needs, else at any; a
+        busy zone spills over only what it can't take: a request thinned or without a slot there."""
+        index = request.event.class_index
+        resting = sum(1 for s in self.servers.values() if self.now_us < s.mute_until_us[index])
+        some_rest = resting <= MOST_MUTE * len(self.servers)
+        for pool in self.pools if self.may_send(request) else []:
+            if pool.credit >= 1.0:
+                best = self.free_slots(request, pool.in_use, some_rest)
+                if not best or len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH):
+                    # hazard: each sidecar connected to each upstream fills their tables of connections
+                    others = [s for s in self.servers.values() if s.pool is pool and s not in pool.in_use]
+                    best = self.free_slots(request, others, some_rest) or best
+                if best:
+                    return self.random.choices(best, [share for _, share in best])[0][0]
+        return None
+
+    def free_slots(self, request: Request, servers: list[Server],
+                   some_rest: bool) -> list[tuple[Server, float]]:
+        """The upstreams with a slot free for it, each with its slots, which count less where it is slow."""
+        tried = [attempt.server for attempt in request.attempts]
+        index = request.event.class_index
+        by_weight, first = self.settings.draw_by_weight, request.first_that_may_have_run()
+        found = []
+        for server in servers:
+            slots = self.open_slots(server) - server.used
+            if slots <= 0 or (some_rest and self.now_us < server.mute_until_us[index]):
+                continue
+            if server.entry.id in request.event.barred:
+                continue
+            if first is None or self.in_group(request, first, server):
+                size = server.entry.weight if by_weight else 1.0
+                share = slots * size / (server.pace * (1.0 + server.silence[index] / SILENCE_BORNE)) ** 2
+                found.append((server, share))
+        return [pair for pair in found if pair[0] not in tried] or found
+
+    def may_send(self, request: Request) -> bool:
+        """Rules 1 and 2 as far as they don't depend on the upstream."""
+        if request.done or request.streaming or self.now_us >= request.event.due_us:
+            return False
+        if request.attempts_made() + request.event.kept_attempts >= self.settings.max_attempts:
+            return False
+        if request.out() > 0 and not self.settings.second_copies:
+            return False
+        first, kind = request.first_that_may_have_run(), self.class_of(request)
+        if first is None or kind.effect == "idempotent":
+            return True
+        return kind.effect == "deduplicated" and self.now_us - first.sent_us < kind.memory_us
+
+    def in_group(self, request: Request, first: Attempt, server: Server) -> bool:
+        """Rule 2: after a keyed attempt that may have run, only upstreams that drop its repeats."""
+        kind = self.class_of(request)
+        if kind.effect != "deduplicated" or kind.group == "all":
+            return True
+        if kind.group == "zone":
+            return first.entry.zone == server.entry.zone
+        return first.entry.cell == server.entry.cell
+
+    def send(self, request: Request, server: Server) -> None:
+        if self.warmth(server) < 1.0:
+            self.pace_cold(server, 1.0)
+        server.used += 1
+        pool = server.pool
+        pool.credit = max(0.0, pool.credit - 1.0)
+        faded = math.exp((pool.rated_us - self.now_us) / RATE_MEMORY_US)
+        pool.rate, pool.rated_us = pool.rate * faded + 1_000_000 / RATE_MEMORY_US, self.now_us
+        if server not in pool.in_use:
+            pool.in_use.append(server)
+        self.reissues.count(first=request.attempts_made() == 0)
+        attempt = Attempt(server, request.event.class_index, self.now_us)
+        request.attempts.append(attempt)
+        server.out.append(attempt)
+        silent_us = self.now_us + self.silent_after_us(attempt.class_index)
+        self.wake(silent_us, "silence", request.event.request, len(request.attempts) - 1)
+        self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request)))
+        if self.settings.second_copies and self.class_of(request).effect != "at_most_once":
+            index = request.event.class_index  # soon enough to be back in time, late enough to be seldom
+            after_us = min(int(2 * self.mean_us[index]), self.half_aim_us(index))
+            self.wake(self.now_us + after_us, "copy", request.event.request)
+
+    def silent_after_us(self, class_index: int) -> int:
+        """Few answers take longer than the aim, unless the upstream is slow to all. Hazard: sooner, what
+        an overload makes slow would be taken for lost."""
+        return self.settings.classes[class_index].aim_us
+
+    def on_silence(self, attempt: Attempt) -> None:
+        """It has had no answer for longer than one takes. Hazard: an upstream, or what lies before it, may
+        never answer a part of the requests (dropped, stuck on a lock, bound for a dead shard) or all of a
+        class and be well for the others: one that may not be repeated is lost there, and the time-out tells
+        of it only after many usual answer times. So the upstream is drawn less for that class, and only now
+        and then once it left some in a row unanswered; this holds for one that says nothing at all, too. It
+        could do harm where a class is slow by nature and seldom: its late answers then send it elsewhere."""
+        server, index = attempt.server, attempt.class_index
+        if attempt.ended is not None or self.settings.classes[index].stream:
+            return
+        attempt.silent = True
+        server.silence[index] += (1.0 - server.silence[index]) / SILENCE_MEMORY
+        if not attempt.passed:
+            server.mute[index] = min(server.mute[index] + 1, LONGEST_MUTE)
+            if server.mute[index] >= MUTE:
+                usual_us = self.silent_after_us(index) * (0.5 + self.random.random())
+                server.mute_until_us[index] = self.now_us + int(usual_us * 2 ** (server.mute[index] - 1))
+        self.give_up_slot(attempt)
+
+    def give_up_slot(self, attempt: Attempt) -> None:
+        """Frees the slot of an attempt that is lost: silent for too long, while its upstream answers what was
+        sent later. Hazard: each of the few that are never answered would hold a slot to its deadline, many
+        usual answer times, till all slots are held and all else is refused. The attempt itself stays out, as
+        its answer may still be of use. Nothing can overtake what holds the only slot: so each upstream may
+        have one lost on suspicion while others answer fast. A slow or silent one, or fleet, frees no more.
+        It could do harm where an upstream serves by priority or shares out its time, and really has in work
+        what was overtaken: it then gets up to twice the slots."""
+        server = attempt.server
+        proven = attempt.overtaken >= OVERTAKEN
+        lost = [other for other in server.out if other.lost]
+        suspected = server.pool.load < FULL_LOAD and all(other.overtaken >= OVERTAKEN for other in lost)
+        if attempt.silent and (proven or suspected) and len(lost) < max(1, int(server.window)):
+            attempt.lost = True
+            server.used -= 1
+
+    def timeout_us(self, request: Request) -> int:
+        """As long as an answer is of use; where a repeat may follow, what the class usually takes."""
+        left_us = max(1, self.useful_until_us(request) - self.now_us)
+        once = self.class_of(request).effect == "at_most_once"
+        if self.settings.second_copies or once or self.reissues.in_hand < 1.0:
+            return left_us
+        index, known_us = request.event.class_index, request.event.cost_us
+        return min(left_us, max(int(4 * self.mean_us[index]), self.half_aim_us(index), 4 * known_us))
+
+    def send_copy(self, request: Request) -> None:
+        """The first runs on. Never in a shortage: copies would take the slots of requests that have none."""
+        if request.out() == 1 and self.buffer is None:
+            server = self.draw(request)
+            if server is not None and server is not request.attempts[-1].server:
+                self.send(request, server)
+
+    def on_attempt_ended(self, event: api.AttemptEnded) -> None:
+        request = self.requests.get(event.request)
+        attempts = request.attempts[event.attempt:event.attempt + 1] if request is not None else []
+        if request is None or not attempts or attempts[0].ended is not None:
+            return
+        attempt = attempts[0]
+        attempt.ended = event.outcome
+        server = attempt.server
+        server.used -= int(not attempt.lost)
+        earlier = server.out[:server.out.index(attempt)]
+        server.out.remove(attempt)
+        # hazard: what others overtook tells nothing of the load; judged by it, an upstream that leaves some
+        # unanswered would be cut to one slot, and its time would be that of no answer
+        lost = (attempt.lost or attempt.overtaken > 0) and event.outcome is api.Outcome.TIMEOUT
+        if not lost:
+            self.judge(attempt, event.elapsed_us, request.event.class_index)
+        if event.outcome in ANSWERED:
+            server.pool.served += 1.0
+            index = attempt.class_index
+            server.silence[index] -= server.silence[index] / SILENCE_MEMORY
+            server.mute[index] = server.mute_until_us[index] = 0
+            for other in earlier:
+                other.overtaken += 1
+                other.passed |= other.class_index == index
+                if not other.lost:
+                    self.give_up_slot(other)
+        if event.outcome in (*ANSWERED, api.Outcome.TIMEOUT) and not lost:
+            # time-outs count too: else a slow fleet would go on being judged by its few quick answers
+            index, mean_us = request.event.class_index, self.mean_us[request.event.class_index]
+            elapsed_us = min(event.elapsed_us, 2 * self.half_aim_us(index))
+            self.mean_us[index] = max(1.0, mean_us + (elapsed_us - mean_us) / 8)
+        if event.final or request.done:
+            self.close(request)
+        elif request.out() == 0:
+            # hazard: when all upstreams are slow at once, time-outs double the load that keeps them slow
+            if event.outcome in REISSUED and self.may_send(request) and self.reissues.in_hand >= 1.0:
+                self.place(request)
+            else:
+                self.finish(request)
+
+    def on_list(self, event: api.UpstreamsUpdated) -> None:
+        if event.kind is api.ListKind.FAILED:
+            self.list_failures += 1
+            # doubles with each failure; jittered, as all sidecars fail together; inside ask-within (rule 3)
+            longest_us = max(1, self.settings.ask_within_us // 2)
+            backoff_us = min(FIRST_RETRY_US * 2 ** min(self.list_failures - 1, 20), longest_us)
+            self.ask_list_at(self.now_us + int(backoff_us * (0.5 + self.random.random() / 2)))
+            return
+        if event.kind is not api.ListKind.CACHED:
+            self.list_failures = self.ask_list_us = 0
+        if event.kind is not api.ListKind.DELTA:
+            self.servers = {e.id: self.servers[e.id] for e in event.upstreams if e.id in self.servers}
+        restarted = []
+        for entry in event.upstreams:
+            if entry.state is not api.UpstreamState.READY:
+                self.servers.pop(entry.id, None)  # rule 3: forgotten the moment we are told
+                continue
+            away = self.settings.cross_zone_fee > 0 and entry.zone != self.settings.zone
+            pool = self.pools[int(away)]
+            server = self.servers.setdefault(entry.id, Server(entry, pool, len(self.mean_us)))
+            server.slow_start |= event.kind is api.ListKind.CACHED
+            if server.entry.started_us != entry.started_us or server.next_cold == 0:
+                restarted.append(server)
+            server.entry = entry
+        for server in restarted:
+            if self.warmth(server) < 1.0:  # all sidecars hear of it within moments: no burst of first sends
+                self.pace_cold(server, self.random.random())
+        for pool in self.pools:
+            pool.in_use = [server for server in pool.in_use if self.servers.get(server.entry.id) is server]
+
+    def ask_list_at(self, at_us: int) -> None:
+        if self.settings.list_on_request:
+            self.ask_list_us = at_us
+            self.wake(at_us, "list", 0)
+
+    def ask_list(self) -> None:
+        """Asks again if no answer comes: a call that is lost must not leave us without a list (rule 3)."""
+        if self.ask_list_us != 0 and self.now_us >= self.ask_list_us:
+            self.actions.append(api.Subscribe(True))
+            self.ask_list_at(self.now_us + max(FIRST_RETRY_US, self.settings.ask_within_us // 2))
+
+    def wake(self, at_us: int, what: str, ident: int, attempt: int = 0) -> None:
+        heapq.heappush(self.wakeups, (max(at_us, self.now_us + 1), what, ident, attempt))
+
+    def arm(self) -> None:
+        times = [self.wakeups[0][0]] if self.wakeups else []
+        if self.buffer is not None:  # a resting slot opens by time, not by an event
+            index = self.buffer.event.class_index
+            rests = [max(s.rest_until_us, s.mute_until_us[index]) for s in self.servers.values()]
+            times.extend([until_us for until_us in rests if until_us > self.now_us])
+        if times and (self.armed_us == 0 or min(times) < self.armed_us):
+            self.armed_us = min(times)
+            self.actions.append(api.SetTimer(self.armed_us, 0))
+
+    def run_due(self) -> None:
+        while self.wakeups and self.wakeups[0][0] <= self.now_us:
+            _, what, ident, number = heapq.heappop(self.wakeups)
+            if what == "list":
+                self.ask_list()
+            elif what == "copy" and ident in self.requests:
+                self.send_copy(self.requests[ident])
+            elif what == "silence" and ident in self.requests:
+                self.on_silence(self.requests[ident].attempts[number])
+            elif what == "buffer" and self.buffer is not None and self.buffer.event.request == ident:
+                self.finish(self.buffer)
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -9,6 +9,7 @@
 import random
 
 from plovertrail.decisions import interface as api
+from plovertrail.decisions.weighted import WeightedDraw
 
 MOST_SLOTS = 8  # no upstream gets more from one sidecar, however quick its answers
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
@@ -35,6 +36,7 @@
 MOST_MUTE = 2 / 3  # hazard: with more upstreams than this resting the fleet is slow, and none rests
 ADMIT_GAIN = 2.4  # a second of slow answers cuts what is admitted to a tenth; slower, queues fill first
 LEAST_ADMITTED = 0.1  # hazard: where service itself has slowed, letting in less mends nothing
+DRAWS = 12  # tries at random before all are gone through: most draws need one
 RATE_MEMORY_US = 5_000_000
 RETRY_SHARE = 0.2  # reissues a first send earns: enough for a fifth of the fleet to fail every attempt
 MOST_RETRIES = 5.0  # reissues in hand after a calm spell
@@ -50,7 +52,12 @@
         self.credit = 1.0  # draws admitted and not yet used
         self.load = 0.0  # its answers' times of late: 1 = half the aim
         self.served = 0.0  # answers so far, and a tenth of what was admitted
-        self.in_use: list[Server] = []  # upstreams whose slots are open; the others' stay closed till needed
+        # by their numbers, with their free slots, which count less where it is slow: upstreams whose slots
+        # are open, and the others, whose stay closed till needed
+        self.in_use = WeightedDraw()
+        self.others = WeightedDraw()
+        self.cold: dict[int, Server] = {}
+        self.cold_waits: list[tuple[float, int]] = []  # (next_cold, number) of cold ones; a heap
         self.rate = 0.0  # sends a second, of late
         self.rated_us = now_us
 
@@ -79,6 +86,7 @@
         self.silence = [0.0] * classes
         self.mute = [0] * classes
         self.mute_until_us = [0] * classes
+        self.muted = [False] * classes  # as counted
         self.window = 1.0  # slots open while it is well; below 1 the one slot rests between sends
         self.rest_until_us = 0
         self.next_cold = 0.0  # while it is cold, it waits till this sidecar has seen so many served
@@ -126,6 +134,10 @@
         self.now_us = now_us
         self.actions: list[api.Action] = []
         self.servers: dict[int, Server] = {}  # the ready ones, in the order listed
+        self.mates: dict[tuple[str, int], dict[int, Server]] = {}  # of each zone and cell
+        self.muted = [0 for _ in settings.classes]  # how many rest for each class
+        self.mutes: list[list[tuple[int, int]]] = [[] for _ in settings.classes]  # (until, number); heaps
+        self.rests: list[tuple[int, int]] = []  # (until, number), of rests and of warm-ups; a heap
         self.requests: dict[int, Request] = {}
         self.buffer: Request | None = None
         self.mean_us = [c.aim_us / 4 for c in settings.classes]  # of each class's answers; at first a guess
@@ -312,8 +324,9 @@
             busy_us = max(min(self.mean_us[class_index], slow_us), min(elapsed_us, 2 * slow_us))
             rest_us = busy_us * (1.0 / server.window - 1.0) * (0.5 + self.random.random())
             server.rest_until_us = self.now_us + int(rest_us)
-        if server.window < 0.5 and server in pool.in_use:
-            pool.in_use.remove(server)  # another takes its place; it may come back when its rest is over
+            heapq.heappush(self.rests, (server.rest_until_us, server.entry.id))
+        if server.window < 0.5 and server.entry.id in pool.in_use:
+            self.use(server, False)  # another takes its place; it may come back when its rest is over
             self.actions.append(api.CloseIdle(server.entry.id))
         rests = server.window < (1.0 if server.rests else 0.25)
         change = "rests" if rests else "is back"
@@ -331,44 +344,127 @@
     def pace_cold(self, server: Server, part: float) -> None:
         """Rule 4: a cold upstream gets its part, by warmth, of what this sidecar sees served by its pool; and
         the fleet serves no more than it can, however much is asked of it."""
-        whole = sum(self.warmth(other) for other in self.servers.values() if other.pool is server.pool)
-        server.next_cold = server.pool.served + part * COLD_CARE * whole / self.warmth(server)
+        pool = server.pool
+        warm = len(pool.in_use) + len(pool.others) - len(pool.cold)
+        whole = warm + sum(map(self.warmth, pool.cold.values()))
+        server.next_cold = pool.served + part * COLD_CARE * whole / self.warmth(server)
+        heapq.heappush(pool.cold_waits, (server.next_cold, server.entry.id))
+        self.weigh(server)
 
     def draw(self, request: Request) -> Server | None:
         """A random free slot, at one of the few upstreams that this sidecar's traffic needs, else at any; a
         busy zone spills over only what it can't take: a request thinned or without a slot there."""
-        index = request.event.class_index
-        resting = sum(1 for s in self.servers.values() if self.now_us < s.mute_until_us[index])
-        some_rest = resting <= MOST_MUTE * len(self.servers)
-        for pool in self.pools if self.may_send(request) else []:
+        if not self.may_send(request):
+            return None
+        self.open_rested()
+        some_rest = self.muted[request.event.class_index] <= MOST_MUTE * len(self.servers)
+        for pool in self.pools:
             if pool.credit >= 1.0:
-                best = self.free_slots(request, pool.in_use, some_rest)
-                if not best or len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH):
-                    # hazard: each sidecar connected to each upstream fills their tables of connections
-                    others = [s for s in self.servers.values() if s.pool is pool and s not in pool.in_use]
-                    best = self.free_slots(request, others, some_rest) or best
-                if best:
-                    return self.random.choices(best, [share for _, share in best])[0][0]
+                while pool.cold_waits and pool.cold_waits[0][0] <= pool.served:
+                    self.weigh(self.servers.get(heapq.heappop(pool.cold_waits)[1]))
+                # hazard: each sidecar connected to each upstream fills their tables of connections
+                few = len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH)
+                for group in (pool.others, pool.in_use) if few else (pool.in_use, pool.others):
+                    server = self.pick(request, group, some_rest)
+                    if server is not None:
+                        return server
         return None
 
-    def free_slots(self, request: Request, servers: list[Server],
-                   some_rest: bool) -> list[tuple[Server, float]]:
-        """The upstreams with a slot free for it, each with its slots, which count less where it is slow."""
+    def pick(self, request: Request, group: WeightedDraw, some_rest: bool) -> Server | None:
+        """One of a group, in proportion to its free slots: drawn by what holds for all requests, and taken
+        with the part that is left of it for this one. Few draws miss; then all are gone through."""
+        index, first = request.event.class_index, request.first_that_may_have_run()
         tried = [attempt.server for attempt in request.attempts]
-        index = request.event.class_index
-        by_weight, first = self.settings.draw_by_weight, request.first_that_may_have_run()
+        kind = self.class_of(request)
+        grouped = first is not None and kind.effect == "deduplicated" and kind.group != "all"
+        for _ in range(0 if grouped else DRAWS):
+            number = group.draw(self.random.random())
+            if number is None:
+                return None
+            server = self.servers[number]
+            if server not in tried and self.fits(request, server, some_rest):
+                silence = server.silence[index]
+                if silence <= 0.0 or self.random.random() * (1.0 + silence / SILENCE_BORNE) ** 2 < 1.0:
+                    return server
         found = []
-        for server in servers:
-            slots = self.open_slots(server) - server.used
-            if slots <= 0 or (some_rest and self.now_us < server.mute_until_us[index]):
-                continue
-            if server.entry.id in request.event.barred:
-                continue
-            if first is None or self.in_group(request, first, server):
-                size = server.entry.weight if by_weight else 1.0
-                share = slots * size / (server.pace * (1.0 + server.silence[index] / SILENCE_BORNE)) ** 2
-                found.append((server, share))
-        return [pair for pair in found if pair[0] not in tried] or found
+        for server in self.drops_repeats(kind, first, group) if first is not None and grouped else [
+                self.servers[number] for number in group]:
+            share = self.share(server)
+            if share > 0.0 and self.fits(request, server, some_rest):
+                found.append((server, share / (1.0 + server.silence[index] / SILENCE_BORNE) ** 2))
+        found = [pair for pair in found if pair[0] not in tried] or found
+        return self.random.choices(found, [share for _, share in found])[0][0] if found else None
+
+    def fits(self, request: Request, server: Server, some_rest: bool) -> bool:
+        """Whether an upstream with a free slot may have this request now."""
+        resting = some_rest and self.now_us < server.mute_until_us[request.event.class_index]
+        return not resting and server.entry.id not in request.event.barred
+
+    def drops_repeats(self, kind: api.RequestClass, first: Attempt, group: WeightedDraw) -> list[Server]:
+        """Rule 2: after a keyed attempt that may have run, only upstreams that drop its repeats."""
+        place = first.entry.zone if kind.group == "zone" else first.entry.cell
+        mates = self.mates.get((kind.group, place), {})
+        return [server for number, server in mates.items() if number in group]
+
+    def share(self, server: Server) -> float:
+        """The weight of an upstream in the draw: its free slots, which count less where it is slow."""
+        slots = self.open_slots(server) - server.used
+        size = server.entry.weight if self.settings.draw_by_weight else 1.0
+        return slots * size / server.pace ** 2 if slots > 0 else 0.0
+
+    def weigh(self, server: Server | None) -> None:
+        """Its weight follows what has changed."""
+        if server is not None and self.servers.get(server.entry.id) is server:
+            pool, number = server.pool, server.entry.id
+            (pool.in_use if number in pool.in_use else pool.others).set(number, self.share(server))
+
+    def use(self, server: Server, use: bool) -> None:
+        """Its slots open, or close till they are needed."""
+        pool, number = server.pool, server.entry.id
+        if self.servers.get(number) is server and (number in pool.in_use) != use:
+            come, go = (pool.in_use, pool.others) if use else (pool.others, pool.in_use)
+            go.discard(number)
+            come.set(number, self.share(server))
+
+    def open_rested(self) -> None:
+        """Rests and warm-ups that are over by now."""
+        while self.rests and self.rests[0][0] <= self.now_us:
+            server = self.servers.get(heapq.heappop(self.rests)[1])
+            if server is not None:
+                if self.warmth(server) >= 1.0:
+                    server.pool.cold.pop(server.entry.id, None)
+                self.weigh(server)
+        for index, heap in enumerate(self.mutes):
+            while heap and heap[0][0] <= self.now_us:
+                server = self.servers.get(heapq.heappop(heap)[1])
+                if server is not None and server.mute_until_us[index] <= self.now_us:
+                    self.mute(server, index, 0)
+
+    def mute(self, server: Server, index: int, until_us: int) -> None:
+        """It rests for a class until then; 0 ends that."""
+        server.mute_until_us[index] = until_us
+        if self.servers.get(server.entry.id) is server:
+            self.muted[index] += (until_us > 0) - server.muted[index]
+            server.muted[index] = until_us > 0
+            if until_us > 0:
+                heapq.heappush(self.mutes[index], (until_us, server.entry.id))
+
+    def forget(self, number: int) -> None:
+        """Rule 3: forgotten the moment we are told."""
+        server = self.servers.pop(number, None)
+        if server is not None:
+            server.pool.in_use.discard(number)
+            server.pool.others.discard(number)
+            server.pool.cold.pop(number, None)
+            self.muted = [count - muted for count, muted in zip(self.muted, server.muted, strict=True)]
+            self.leave_mates(server)
+
+    def leave_mates(self, server: Server) -> None:
+        for place in (("zone", server.entry.zone), ("cell", server.entry.cell)):
+            mates = self.mates.get(place, {})
+            mates.pop(server.entry.id, None)
+            if not mates:
+                self.mates.pop(place, None)
 
     def may_send(self, request: Request) -> bool:
         """Rules 1 and 2 as far as they don't depend on the upstream."""
@@ -383,15 +479,6 @@
             return True
         return kind.effect == "deduplicated" and self.now_us - first.sent_us < kind.memory_us
 
-    def in_group(self, request: Request, first: Attempt, server: Server) -> bool:
-        """Rule 2: after a keyed attempt that may have run, only upstreams that drop its repeats."""
-        kind = self.class_of(request)
-        if kind.effect != "deduplicated" or kind.group == "all":
-            return True
-        if kind.group == "zone":
-            return first.entry.zone == server.entry.zone
-        return first.entry.cell == server.entry.cell
-
     def send(self, request: Request, server: Server) -> None:
         if self.warmth(server) < 1.0:
             self.pace_cold(server, 1.0)
@@ -400,8 +487,8 @@
         pool.credit = max(0.0, pool.credit - 1.0)
         faded = math.exp((pool.rated_us - self.now_us) / RATE_MEMORY_US)
         pool.rate, pool.rated_us = pool.rate * faded + 1_000_000 / RATE_MEMORY_US, self.now_us
-        if server not in pool.in_use:
-            pool.in_use.append(server)
+        self.use(server, True)
+        self.weigh(server)
         self.reissues.count(first=request.attempts_made() == 0)
         attempt = Attempt(server, request.event.class_index, self.now_us)
         request.attempts.append(attempt)
@@ -435,7 +522,7 @@
             server.mute[index] = min(server.mute[index] + 1, LONGEST_MUTE)
             if server.mute[index] >= MUTE:
                 usual_us = self.silent_after_us(index) * (0.5 + self.random.random())
-                server.mute_until_us[index] = self.now_us + int(usual_us * 2 ** (server.mute[index] - 1))
+                self.mute(server, index, self.now_us + int(usual_us * 2 ** (server.mute[index] - 1)))
         self.give_up_slot(attempt)
 
     def give_up_slot(self, attempt: Attempt) -> None:
@@ -453,6 +540,7 @@
         if attempt.silent and (proven or suspected) and len(lost) < max(1, int(server.window)):
             attempt.lost = True
             server.used -= 1
+            self.weigh(server)
 
     def timeout_us(self, request: Request) -> int:
         """As long as an answer is of use; where a repeat may follow, what the class usually takes."""
@@ -486,11 +574,13 @@
         lost = (attempt.lost or attempt.overtaken > 0) and event.outcome is api.Outcome.TIMEOUT
         if not lost:
             self.judge(attempt, event.elapsed_us, request.event.class_index)
+        self.weigh(server)
         if event.outcome in ANSWERED:
             server.pool.served += 1.0
             index = attempt.class_index
             server.silence[index] -= server.silence[index] / SILENCE_MEMORY
-            server.mute[index] = server.mute_until_us[index] = 0
+            server.mute[index] = 0
+            self.mute(server, index, 0)
             for other in earlier:
                 other.overtaken += 1
                 other.passed |= other.class_index == index
@@ -521,11 +611,12 @@
         if event.kind is not api.ListKind.CACHED:
             self.list_failures = self.ask_list_us = 0
         if event.kind is not api.ListKind.DELTA:
-            self.servers = {e.id: self.servers[e.id] for e in event.upstreams if e.id in self.servers}
+            for number in self.servers.keys() - {entry.id for entry in event.upstreams}:
+                self.forget(number)
         restarted = []
         for entry in event.upstreams:
             if entry.state is not api.UpstreamState.READY:
-                self.servers.pop(entry.id, None)  # rule 3: forgotten the moment we are told
+                self.forget(entry.id)
                 continue
             away = self.settings.cross_zone_fee > 0 and entry.zone != self.settings.zone
             pool = self.pools[int(away)]
@@ -533,12 +624,19 @@
             server.slow_start |= event.kind is api.ListKind.CACHED
             if server.entry.started_us != entry.started_us or server.next_cold == 0:
                 restarted.append(server)
+            self.leave_mates(server)
             server.entry = entry
+            for place in (("zone", entry.zone), ("cell", entry.cell)):
+                self.mates.setdefault(place, {})[entry.id] = server
+            if self.warmth(server) < 1.0:
+                server.pool.cold[entry.id] = server
+                heapq.heappush(self.rests, (entry.started_us + self.settings.warm_up_us, entry.id))
+            else:
+                server.pool.cold.pop(entry.id, None)
+            self.weigh(server)
         for server in restarted:
             if self.warmth(server) < 1.0:  # all sidecars hear of it within moments: no burst of first sends
                 self.pace_cold(server, self.random.random())
-        for pool in self.pools:
-            pool.in_use = [server for server in pool.in_use if self.servers.get(server.entry.id) is server]
 
     def ask_list_at(self, at_us: int) -> None:
         if self.settings.list_on_request:
@@ -558,8 +656,8 @@
         times = [self.wakeups[0][0]] if self.wakeups else []
         if self.buffer is not None:  # a resting slot opens by time, not by an event
             index = self.buffer.event.class_index
-            rests = [max(s.rest_until_us, s.mute_until_us[index]) for s in self.servers.values()]
-            times.extend([until_us for until_us in rests if until_us > self.now_us])
+            self.open_rested()
+            times.extend(heap[0][0] for heap in (self.rests, self.mutes[index]) if heap)
         if times and (self.armed_us == 0 or min(times) < self.armed_us):
             self.armed_us = min(times)
             self.actions.append(api.SetTimer(self.armed_us, 0))
--- /dev/null
+++ b/tests/decisions/test_draw.py
@@ -0,0 +1,161 @@
+"""The draw of a server beside that of the reference, which goes through all servers for each request."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from benchmarks import reference_balance
+from plovertrail.decisions import interface as api
+from plovertrail.decisions.balance import A_SECOND_EACH, FEWEST_IN_USE, MOST_MUTE, Balancer, Request, Server
+from tests.decisions import world
+from tests.decisions.world import World, upstreams
+
+OUTCOMES = [
+    api.Outcome.OK,
+    api.Outcome.OK,
+    api.Outcome.OK,
+    api.Outcome.ERROR,
+    api.Outcome.FULL,
+    api.Outcome.RESET,
+    api.Outcome.SPOILT,
+    api.Outcome.CONNECT_FAILED,
+]
+STEP = st.tuples(st.sampled_from(["arrive", "arrive", "end", "time", "list", "quit"]), st.integers(0, 2**16))
+
+
+def choices(balancer: Balancer, request: Request) -> dict[int, float]:
+    """The servers that the reference would draw from, with their weights, in this module's state."""
+    old = object.__new__(reference_balance.Balancer)
+    old.settings, old.now_us = balancer.settings, balancer.now_us
+    servers = list(balancer.servers.values())
+    index = request.event.class_index
+    resting = sum(1 for server in servers if balancer.now_us < server.mute_until_us[index])
+    some_rest = resting <= MOST_MUTE * len(servers)
+    for pool in balancer.pools if balancer.may_send(request) else []:
+        if pool.credit >= 1.0:
+            groups = [
+                [
+                    server
+                    for server in servers
+                    if server.pool is pool and (server.entry.id in pool.in_use) == used
+                ]
+                for used in (True, False)
+            ]
+            best, others = (free_slots(old, request, group, some_rest) for group in groups)
+            if not best or len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH):
+                best = others or best
+            if best:
+                return best
+    return {}
+
+
+def free_slots(
+    old: reference_balance.Balancer, request: Request, servers: list[Server], some_rest: bool
+) -> dict[int, float]:
+    found = old.free_slots(request, servers, some_rest)  # type: ignore[arg-type]
+    return {server.entry.id: share for server, share in found}
+
+
+def check_books(balancer: Balancer) -> None:
+    """What is kept is what going through all would find."""
+    balancer.open_rested()
+    for index, count in enumerate(balancer.muted):
+        assert count == sum(1 for s in balancer.servers.values() if balancer.now_us < s.mute_until_us[index])
+    for pool in balancer.pools:
+        mine = {number for number, server in balancer.servers.items() if server.pool is pool}
+        assert set(pool.in_use) | set(pool.others) == mine and not set(pool.in_use) & set(pool.others)
+        assert set(pool.cold) == {n for n in mine if balancer.warmth(balancer.servers[n]) < 1.0}
+    for kind in ("zone", "cell"):
+        for number, server in balancer.servers.items():
+            assert balancer.mates[kind, getattr(server.entry, kind)][number] is server
+    assert sum(map(len, balancer.mates.values())) == 2 * len(balancer.servers)
+
+
+def play(steps: list[tuple[str, int]], seed: int) -> World:
+    """Let these things happen, and hold the books and the draw against the reference after each."""
+    played = World(
+        world.settings(cold_share=0.3, warm_up_us=3_000_000, weighted=True, draw_by_weight=True), seed
+    )
+    entries = [api.Upstream(100 + i, zone=i // 2, cell=i // 2, weight=1.0 + i % 3) for i in range(8)]
+    played.tell_list(entries)
+    for what, number in steps:
+        if what == "arrive":
+            for _ in range(1 + number % 4):
+                played.arrive(number % 3, key=number, barred=frozenset((100,)) if number % 5 == 0 else ())
+        elif what == "end":
+            out = [(ident, n) for ident, owed in played.owed.items() for n in owed.out()]
+            if out:
+                played.end(*out[number % len(out)], OUTCOMES[number % len(OUTCOMES)])
+        elif what == "time":
+            played.advance((1, 1_000, 30_000, 200_000, 900_000)[number % 5])
+        elif what == "quit":
+            open_now = [ident for ident, owed in played.owed.items() if not owed.closed]
+            if open_now:
+                played.quit(open_now[number % len(open_now)])
+        else:
+            entry = entries[number % len(entries)]
+            state = (api.UpstreamState.READY, api.UpstreamState.DRAINING, api.UpstreamState.GONE)[number % 3]
+            entry = entries[number % len(entries)] = api.Upstream(
+                entry.id,
+                state,
+                entry.zone,
+                0,
+                (entry.cell + number) % 4,
+                1.0 + number % 4,
+                played.now_us - number % 2_000_000 if number % 2 else 0,
+            )
+            played.tell_list([entry], api.ListKind.DELTA)
+        check_books(played.balancer)
+        for request in played.balancer.requests.values():
+            if request.out() == 0 and not request.done:
+                expected = choices(played.balancer, request)
+                drawn = played.balancer.draw(request)
+                assert (drawn is None) == (not expected) and (drawn is None or drawn.entry.id in expected)
+    return played
+
+
+@settings(max_examples=120, deadline=None)
+@given(st.lists(STEP, max_size=60), st.integers(0, 1000))
+def test_whatever_happens_the_books_are_right_and_the_draw_is_one_of_the_references(
+    steps: list[tuple[str, int]], seed: int
+) -> None:
+    play(steps, seed)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_servers_are_drawn_as_often_as_by_the_reference(seed: int) -> None:
+    rng = random.Random(seed)
+    kinds = ["arrive", "arrive", "arrive", "end", "end", "time", "list"]
+    played = play([(rng.choice(kinds), rng.randrange(2**16)) for _ in range(150)], seed)
+    balancer = played.balancer
+    played.advance(100_000)
+    for pool in balancer.pools:
+        pool.credit = 2.0
+    for class_index in range(3):
+        event = api.RequestArrived(9_999, balancer.now_us + 1_000_000, class_index)
+        request = Request(event, balancer.now_us)
+        expected = choices(balancer, request)
+        count = 4_000
+        drawn = Counter(server.entry.id for _ in range(count) if (server := balancer.draw(request)))
+        assert set(drawn) <= set(expected) and sum(drawn.values()) == (count if expected else 0)
+        whole = sum(expected.values())
+        for number, share in expected.items():
+            usual = count * share / whole
+            # four standard deviations, and a few for the rare ones
+            assert abs(drawn[number] - usual) <= 4 * (usual * (1 - share / whole)) ** 0.5 + 4
+
+
+def test_a_retry_goes_to_one_not_tried_yet_as_long_as_there_is_one() -> None:
+    played = World(world.settings(second_copies=False))
+    played.tell_list(upstreams(3))
+    ident = played.arrive(0)
+    seen = [played.sends(ident)[-1].upstream]
+    for attempt in range(3):
+        played.end(ident, attempt, api.Outcome.CONNECT_FAILED)
+        seen.append(played.sends(ident)[-1].upstream)
+    assert len(set(seen[:3])) == 3
