--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -325,8 +325,8 @@
             rest_us = busy_us * (1.0 / server.window - 1.0) * (0.5 + self.random.random())
             server.rest_until_us = self.now_us + int(rest_us)
             heapq.heappush(self.rests, (server.rest_until_us, server.entry.id))
-        if server.window < 0.5 and server.entry.id in pool.in_use:
-            self.use(server, False)  # another takes its place; it may come back when its rest is over
+        # another takes its place; it may come back when its rest is over
+        if server.window < 0.5 and self.use(server, False):
             self.actions.append(api.CloseIdle(server.entry.id))
         rests = server.window < (1.0 if server.rests else 0.25)
         change = "rests" if rests else "is back"
@@ -418,13 +418,16 @@
             pool, number = server.pool, server.entry.id
             (pool.in_use if number in pool.in_use else pool.others).set(number, self.share(server))
 
-    def use(self, server: Server, use: bool) -> None:
-        """Its slots open, or close till they are needed."""
+    def use(self, server: Server, use: bool) -> bool:
+        """Its slots open, or close till they are needed; whether that is a change. Hazard: one that has gone
+        and come back is another server under the same number."""
         pool, number = server.pool, server.entry.id
-        if self.servers.get(number) is server and (number in pool.in_use) != use:
-            come, go = (pool.in_use, pool.others) if use else (pool.others, pool.in_use)
-            go.discard(number)
-            come.set(number, self.share(server))
+        if self.servers.get(number) is not server or (number in pool.in_use) == use:
+            return False
+        come, go = (pool.in_use, pool.others) if use else (pool.others, pool.in_use)
+        go.discard(number)
+        come.set(number, self.share(server))
+        return True
 
     def open_rested(self) -> None:
         """Rests and warm-ups that are over by now."""
--- a/tests/decisions/test_draw.py
+++ b/tests/decisions/test_draw.py
@@ -150,6 +150,37 @@
             assert abs(drawn[number] - usual) <= 4 * (usual * (1 - share / whole)) ** 0.5 + 4
 
 
+def test_a_barred_server_is_never_drawn_and_with_all_barred_none_is() -> None:
+    played = World()
+    played.tell_list(upstreams(3))
+    barred = frozenset((100, 102))
+    idents = [played.arrive(0, barred=barred) for _ in range(20)]
+    assert {send.upstream for ident in idents for send in played.sends(ident)} == {101}
+    balancer = played.balancer
+    event = api.RequestArrived(9_999, balancer.now_us + 1_000_000, barred=frozenset((100, 101, 102)))
+    assert [balancer.draw(Request(event, balancer.now_us)) for _ in range(50)] == [None] * 50
+
+
+def test_the_count_of_muted_servers_follows_their_ends_and_the_list() -> None:
+    played = World()
+    played.tell_list(upstreams(4))
+    balancer = played.balancer
+    for number in (100, 101, 102):
+        balancer.mute(balancer.servers[number], 0, played.now_us + 1_000 * number)
+    balancer.mute(balancer.servers[100], 0, played.now_us + 500_000)  # for longer
+    balancer.mute(balancer.servers[101], 0, 0)
+    check_books(balancer)
+    assert balancer.muted[0] == 2
+    played.tell_list([api.Upstream(102, api.UpstreamState.GONE)], api.ListKind.DELTA)
+    check_books(balancer)
+    assert balancer.muted[0] == 1
+    for after_us, count in ((499_999, 1), (2, 0)):
+        played.advance(after_us)
+        played.tell(api.TimerFired(0))  # the module learns the time
+        check_books(balancer)
+        assert balancer.muted[0] == count
+
+
 def test_a_retry_goes_to_one_not_tried_yet_as_long_as_there_is_one() -> None:
     played = World(world.settings(second_copies=False))
     played.tell_list(upstreams(3))
@@ -159,3 +190,20 @@
         played.end(ident, attempt, api.Outcome.CONNECT_FAILED)
         seen.append(played.sends(ident)[-1].upstream)
     assert len(set(seen[:3])) == 3
+
+
+def test_a_server_that_went_and_came_back_is_not_judged_by_its_old_requests() -> None:
+    played = World()
+    played.tell_list(upstreams(1))
+    old = played.arrive(0)
+    played.tell_list([api.Upstream(100, api.UpstreamState.GONE)], api.ListKind.DELTA)
+    played.tell_list(upstreams(1), api.ListKind.DELTA)
+    played.arrive(0)
+    balancer = played.balancer
+    assert 100 in balancer.pools[0].in_use and balancer.servers[100].used == 1
+    before = len(played.log)
+    balancer.requests[old].attempts[0].server.window = 0.01
+    played.end(old, 0, api.Outcome.FULL)
+    assert 100 in balancer.pools[0].in_use
+    assert not [action for action in played.log[before:] if isinstance(action, api.CloseIdle)]
+    check_books(balancer)
