A client told of too much gets its close frame; stale entries of cold servers are bounded

A client over its rate or size that sent on was cut at once, and could lose the close frame that told it why: now only a broken protocol cuts a socket that is closing. And servers that restart over and over under an instance with no traffic left an entry each in the heaps of the draw: what is over is taken off with each list, and the heap of cold servers is laid out anew when most of it is stale. Each has a test.

--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -349,6 +349,9 @@
         whole = warm + sum(map(self.warmth, pool.cold.values()))
         server.next_cold = pool.served + part * COLD_CARE * whole / self.warmth(server)
         heapq.heappush(pool.cold_waits, (server.next_cold, server.entry.id))
+        if len(pool.cold_waits) > 2 * len(pool.cold) + 16:
+            # hazard: with servers that restart and next to no traffic, stale entries would pile up
+            pool.cold_waits = sorted((cold.next_cold, number) for number, cold in pool.cold.items())
         self.weigh(server)
 
     def draw(self, request: Request) -> Server | None:
@@ -616,6 +619,7 @@
         if event.kind is not api.ListKind.DELTA:
             for number in self.servers.keys() - {entry.id for entry in event.upstreams}:
                 self.forget(number)
+        self.open_rested()  # hazard: without a draw nothing else would take off what is over
         restarted = []
         for entry in event.upstreams:
             if entry.state is not api.UpstreamState.READY:
--- a/plovertrail/decisions/sockets.py
+++ b/plovertrail/decisions/sockets.py
@@ -498,8 +498,9 @@
             socket.heard(event.side.other, self.now_us)
         elif isinstance(event, Violated) and socket.phase is Phase.OPEN:
             self._close(socket, event.cause, event.code, event.why)
-        elif isinstance(event, Violated):
-            # hazard: one that breaks the protocol while it closes would be listened to till the cut
+        elif isinstance(event, Violated) and event.cause in (Cause.CLIENT_FAULT, Cause.SERVER_FAULT):
+            # hazard: one that breaks the protocol while it closes would be listened to till the cut. What is
+            # only too much is let pass: cut for it, a client would lose the close frame that tells it so
             self._cut(socket)
 
     def _on_placed(self, socket: Socket, server: Server) -> None:
--- a/tests/decisions/test_draw.py
+++ b/tests/decisions/test_draw.py
@@ -207,3 +207,19 @@
     assert 100 in balancer.pools[0].in_use
     assert not [action for action in played.log[before:] if isinstance(action, api.CloseIdle)]
     check_books(balancer)
+
+
+def test_without_traffic_servers_that_restart_over_and_over_leave_nothing_behind() -> None:
+    played = World(world.settings(warm_up_us=1_000_000))
+    for _ in range(300):
+        played.tell_list(upstreams(4, started_us=played.now_us))
+        played.advance(600_000)
+    pool = played.balancer.pools[0]
+    assert len(pool.cold_waits) <= 2 * 4 + 16 and len(played.balancer.rests) <= 12
+    check_books(played.balancer)
+    for _ in range(20):
+        played.advance(100_000)
+        ident = played.arrive(0)
+        if played.sends(ident):
+            played.end(ident, 0, api.Outcome.OK)
+    assert len(played.sends()) > 10
--- a/tests/decisions/test_sockets.py
+++ b/tests/decisions/test_sockets.py
@@ -210,6 +210,16 @@
     assert world.causes() == [cause]
 
 
+def test_one_that_goes_on_with_too_much_while_it_is_told_so_is_not_cut_for_it() -> None:
+    world = World()
+    world.open()
+    for _ in range(3):
+        world.tell(Violated(1, Cause.TOO_MANY))
+    assert not world.all(Cut) and len(world.closes(CLIENT)) == 1
+    world.finish()
+    assert world.causes() == [Cause.TOO_MANY]
+
+
 def test_one_that_breaks_the_protocol_while_it_closes_is_cut() -> None:
     world = World()
     world.open()
--- a/tests/fronts/test_sockets.py
+++ b/tests/fronts/test_sockets.py
@@ -629,6 +629,22 @@
     run(test)
 
 
+def test_a_client_that_floods_on_still_gets_the_frame_that_tells_it_why(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with live_site(tmp_path, [LiveServer(listen)], limits="messages_per_s = 1") as site:
+            client = await site.open()
+            for _ in range(50):
+                for _ in range(100):
+                    client.send(TEXT, b"x" * 50)
+                await client.writer.drain()
+            assert (await client.closed()).code == 1008
+            client.close()
+            await closed(site)
+            assert site.opened[0].cause is Cause.TOO_MANY
+
+    run(test)
+
+
 # Back-pressure
 
 
