--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -36,6 +36,7 @@
 MOST_MUTE = 2 / 3  # hazard: with more upstreams than this resting the fleet is slow, and none rests
 ADMIT_GAIN = 2.4  # a second of slow answers cuts what is admitted to a tenth; slower, queues fill first
 LEAST_ADMITTED = 0.1  # hazard: where service itself has slowed, letting in less mends nothing
+STALE_BORNE = 16  # stale entries that the heap of cold waits may hold besides two for each cold upstream
 DRAWS = 12  # tries at random before all are gone through: most draws need one
 RATE_MEMORY_US = 5_000_000
 RETRY_SHARE = 0.2  # reissues a first send earns: enough for a fifth of the fleet to fail every attempt
@@ -349,7 +350,7 @@
         whole = warm + sum(map(self.warmth, pool.cold.values()))
         server.next_cold = pool.served + part * COLD_CARE * whole / self.warmth(server)
         heapq.heappush(pool.cold_waits, (server.next_cold, server.entry.id))
-        if len(pool.cold_waits) > 2 * len(pool.cold) + 16:
+        if len(pool.cold_waits) > 2 * len(pool.cold) + STALE_BORNE:
             # hazard: with servers that restart and next to no traffic, stale entries would pile up
             pool.cold_waits = sorted((cold.next_cold, number) for number, cold in pool.cold.items())
         self.weigh(server)
--- a/tests/decisions/test_draw.py
+++ b/tests/decisions/test_draw.py
@@ -11,7 +11,15 @@
 
 from benchmarks import reference_balance
 from plovertrail.decisions import interface as api
-from plovertrail.decisions.balance import A_SECOND_EACH, FEWEST_IN_USE, MOST_MUTE, Balancer, Request, Server
+from plovertrail.decisions.balance import (
+    A_SECOND_EACH,
+    FEWEST_IN_USE,
+    MOST_MUTE,
+    STALE_BORNE,
+    Balancer,
+    Request,
+    Server,
+)
 from tests.decisions import world
 from tests.decisions.world import World, upstreams
 
@@ -215,7 +223,7 @@
         played.tell_list(upstreams(4, started_us=played.now_us))
         played.advance(600_000)
     pool = played.balancer.pools[0]
-    assert len(pool.cold_waits) <= 2 * 4 + 16 and len(played.balancer.rests) <= 12
+    assert len(pool.cold_waits) <= 2 * 4 + STALE_BORNE and len(played.balancer.rests) <= 12
     check_books(played.balancer)
     for _ in range(20):
         played.advance(100_000)
