Unanswered attempts wait in a queue; no timer is asked for that would find nothing

Each send put its own wake-up into the heap and asked for a timer, and each of these fired long after the answer had come: one event in three told the module nothing. All attempts of a class fall silent after the same time, so a queue in the order of their sends does, and the next timer is that of the first one still out.

--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -7,6 +7,7 @@
 import heapq
 import math
 import random
+from collections import deque
 
 from plovertrail.decisions import interface as api
 from plovertrail.decisions.weighted import WeightedDraw
@@ -42,12 +43,16 @@
 RETRY_SHARE = 0.2  # reissues a first send earns: enough for a fifth of the fleet to fail every attempt
 MOST_RETRIES = 5.0  # reissues in hand after a calm spell
 LOG_GAP_US = 1_000_000  # a line a second at most, however many upstreams change
+NEVER_US = 2 ** 62  # later than any clock says
 FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
 
 
 class Pool:
     """Upstreams thinned together: all, or, where crossing zones costs, this zone's and the others'."""
 
+    __slots__ = ("admitted", "credit", "load", "served", "in_use", "others", "cold", "cold_waits", "rate",
+                 "rated_us")
+
     def __init__(self, now_us: int) -> None:
         self.admitted = 1.0  # part of the draws that may take a slot: falls while answers are slow all over
         self.credit = 1.0  # draws admitted and not yet used
@@ -77,6 +82,9 @@
 class Server:
     """What this sidecar knows of one upstream."""
 
+    __slots__ = ("entry", "pool", "used", "out", "silence", "mute", "mute_until_us", "muted", "window",
+                 "rest_until_us", "next_cold", "pace", "slow_start", "faults", "rests")
+
     def __init__(self, entry: api.Upstream, pool: Pool, classes: int) -> None:
         self.entry = entry
         self.pool = pool
@@ -98,6 +106,9 @@
 
 
 class Attempt:
+    __slots__ = ("server", "entry", "class_index", "sent_us", "overtaken", "passed", "silent", "lost",
+                 "ended")
+
     def __init__(self, server: Server, class_index: int, now_us: int) -> None:
         self.server = server
         self.entry = server.entry  # as it was listed then
@@ -111,20 +122,23 @@
 
 
 class Request:
+    __slots__ = ("event", "arrived_us", "attempts", "out", "done", "streaming")
+
     def __init__(self, event: api.RequestArrived, now_us: int) -> None:
         self.event = event
         self.arrived_us = now_us
         self.attempts: list[Attempt] = []
+        self.out = 0  # attempts that have not ended
         self.done = self.streaming = False
 
-    def out(self) -> int:
-        return sum(1 for attempt in self.attempts if attempt.ended is None)
-
     def attempts_made(self) -> int:
         return self.event.earlier_attempts + len(self.attempts)
 
     def first_that_may_have_run(self) -> Attempt | None:
-        return next((attempt for attempt in self.attempts if attempt.ended not in NEVER_RAN), None)
+        for attempt in self.attempts:
+            if attempt.ended not in NEVER_RAN:
+                return attempt
+        return None
 
 
 class Balancer:
@@ -150,8 +164,11 @@
         self.unsent = 0.0  # share of arrivals that found no free slot, the old ones fading
         self.overloaded = False  # as last logged: from a fifth unsent until one in fifty
         self.next_log_us = now_us
-        self.wakeups: list[tuple[int, str, int, int]] = []  # (when, what, request, attempt); a heap
-        self.armed_us = self.list_failures = 0  # armed: the next timer already asked for; 0 = none
+        self.wakeups: list[tuple[int, str, int]] = []  # (when, what, request); a heap
+        # by class, the attempts that are not silent yet, in the order of their sends and so of their times
+        self.unheard: list[deque[Attempt]] = [deque() for _ in settings.classes]
+        self.wanted_us = self.armed_us = NEVER_US  # when something is due next; the next timer asked for
+        self.list_failures = 0
         self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
         self.ask_list_at(now_us)
 
@@ -163,7 +180,7 @@
             self.on_arrival(event)
         elif isinstance(event, api.TimerFired):
             if self.armed_us <= now_us:  # hazard: a stale timer that armed another would never die out
-                self.armed_us = 0
+                self.armed_us = NEVER_US
             self.run_due()
         elif isinstance(event, api.RequestGone) and event.request in self.requests:
             self.close(self.requests[event.request])
@@ -171,8 +188,10 @@
             self.requests[event.request].streaming = True
         elif isinstance(event, api.UpstreamsUpdated):
             self.on_list(event)
-        self.fill_from_buffer()
-        self.arm()
+        if self.buffer is not None:
+            self.fill_from_buffer()
+        if self.buffer is not None or self.wanted_us < self.armed_us:
+            self.arm()
         actions, self.actions = self.actions, []
         return actions
 
@@ -202,7 +221,7 @@
             self.finish(request)
             return
         for pool in self.pools:
-            pool.credit = min(pool.credit + pool.admitted, 2.0)
+            pool.credit = min(2.0, pool.credit + pool.admitted)
             pool.served += 0.1 * pool.admitted  # if all are cold, nothing else would open their slots
         server = self.draw(request)
         if server is not None:
@@ -273,15 +292,16 @@
         request.done = True
         if self.buffer is request:
             self.buffer = None
-        if request.out() == 0:
+        if request.out == 0:
             self.requests.pop(request.event.request, None)
 
     def open_slots(self, server: Server) -> int:
         """How many of this sidecar's sends an upstream may have now; the one place where health lives."""
-        cold = self.warmth(server) < 1.0
-        if self.now_us < server.rest_until_us or (cold and server.pool.served < server.next_cold):
+        if self.now_us < server.rest_until_us:
             return 0
-        return 1 if cold else max(1, int(server.window))
+        if server.entry.started_us != 0 and self.warmth(server) < 1.0:
+            return int(server.pool.served >= server.next_cold)
+        return int(server.window) or 1
 
     def judge(self, attempt: Attempt, elapsed_us: int, class_index: int) -> None:
         """How an attempt's end opens or closes its upstream's slots."""
@@ -363,23 +383,26 @@
         self.open_rested()
         some_rest = self.muted[request.event.class_index] <= MOST_MUTE * len(self.servers)
         for pool in self.pools:
-            if pool.credit >= 1.0:
-                while pool.cold_waits and pool.cold_waits[0][0] <= pool.served:
-                    self.weigh(self.servers.get(heapq.heappop(pool.cold_waits)[1]))
-                # hazard: each sidecar connected to each upstream fills their tables of connections
-                few = len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH)
-                for group in (pool.others, pool.in_use) if few else (pool.in_use, pool.others):
-                    server = self.pick(request, group, some_rest)
-                    if server is not None:
-                        return server
+            if pool.credit < 1.0:
+                continue
+            while pool.cold_waits and pool.cold_waits[0][0] <= pool.served:
+                self.weigh(self.servers.get(heapq.heappop(pool.cold_waits)[1]))
+            groups = pool.in_use, pool.others
+            # hazard: each sidecar connected to each upstream fills their tables of connections
+            few = len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH)
+            if few and pool.others.whole > 0.0:
+                groups = pool.others, pool.in_use
+            for group in groups:
+                server = self.pick(request, group, some_rest) if group.whole > 0.0 else None
+                if server is not None:
+                    return server
         return None
 
     def pick(self, request: Request, group: WeightedDraw, some_rest: bool) -> Server | None:
         """One of a group, in proportion to its free slots: drawn by what holds for all requests, and taken
         with the part that is left of it for this one. Few draws miss; then all are gone through."""
         index, first = request.event.class_index, request.first_that_may_have_run()
-        tried = [attempt.server for attempt in request.attempts]
-        kind = self.class_of(request)
+        tried, kind = [attempt.server for attempt in request.attempts], self.settings.classes[index]
         grouped = first is not None and kind.effect == "deduplicated" and kind.group != "all"
         for _ in range(0 if grouped else DRAWS):
             number = group.draw(self.random.random())
@@ -413,14 +436,17 @@
     def share(self, server: Server) -> float:
         """The weight of an upstream in the draw: its free slots, which count less where it is slow."""
         slots = self.open_slots(server) - server.used
+        if slots <= 0:
+            return 0.0
         size = server.entry.weight if self.settings.draw_by_weight else 1.0
-        return slots * size / server.pace ** 2 if slots > 0 else 0.0
+        return slots * size / server.pace ** 2
 
     def weigh(self, server: Server | None) -> None:
         """Its weight follows what has changed."""
         if server is not None and self.servers.get(server.entry.id) is server:
-            pool, number = server.pool, server.entry.id
-            (pool.in_use if number in pool.in_use else pool.others).set(number, self.share(server))
+            pool, number, share = server.pool, server.entry.id, self.share(server)
+            if not pool.in_use.change(number, share):
+                pool.others.set(number, share)
 
     def use(self, server: Server, use: bool) -> bool:
         """Its slots open, or close till they are needed; whether that is a change. Hazard: one that has gone
@@ -475,13 +501,15 @@
 
     def may_send(self, request: Request) -> bool:
         """Rules 1 and 2 as far as they don't depend on the upstream."""
-        if request.done or request.streaming or self.now_us >= request.event.due_us:
+        event = request.event
+        if request.done or request.streaming or self.now_us >= event.due_us:
             return False
-        if request.attempts_made() + request.event.kept_attempts >= self.settings.max_attempts:
+        if len(request.attempts) + event.earlier_attempts + event.kept_attempts >= self.settings.max_attempts:
             return False
-        if request.out() > 0 and not self.settings.second_copies:
+        if request.out > 0 and not self.settings.second_copies:
             return False
-        first, kind = request.first_that_may_have_run(), self.class_of(request)
+        first = request.first_that_may_have_run()
+        kind = self.settings.classes[event.class_index]
         if first is None or kind.effect == "idempotent":
             return True
         return kind.effect == "deduplicated" and self.now_us - first.sent_us < kind.memory_us
@@ -499,9 +527,11 @@
         self.reissues.count(first=request.attempts_made() == 0)
         attempt = Attempt(server, request.event.class_index, self.now_us)
         request.attempts.append(attempt)
+        request.out += 1
         server.out.append(attempt)
-        silent_us = self.now_us + self.silent_after_us(attempt.class_index)
-        self.wake(silent_us, "silence", request.event.request, len(request.attempts) - 1)
+        if not self.settings.classes[attempt.class_index].stream:
+            self.unheard[attempt.class_index].append(attempt)
+            self.wanted_us = min(self.wanted_us, self.now_us + self.silent_after_us(attempt.class_index))
         self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request)))
         if self.settings.second_copies and self.class_of(request).effect != "at_most_once":
             index = request.event.class_index  # soon enough to be back in time, late enough to be seldom
@@ -521,8 +551,6 @@
         and then once it left some in a row unanswered; this holds for one that says nothing at all, too. It
         could do harm where a class is slow by nature and seldom: its late answers then send it elsewhere."""
         server, index = attempt.server, attempt.class_index
-        if attempt.ended is not None or self.settings.classes[index].stream:
-            return
         attempt.silent = True
         server.silence[index] += (1.0 - server.silence[index]) / SILENCE_MEMORY
         if not attempt.passed:
@@ -560,7 +588,7 @@
 
     def send_copy(self, request: Request) -> None:
         """The first runs on. Never in a shortage: copies would take the slots of requests that have none."""
-        if request.out() == 1 and self.buffer is None:
+        if request.out == 1 and self.buffer is None:
             server = self.draw(request)
             if server is not None and server is not request.attempts[-1].server:
                 self.send(request, server)
@@ -572,6 +600,7 @@
             return
         attempt = attempts[0]
         attempt.ended = event.outcome
+        request.out -= 1
         server = attempt.server
         server.used -= int(not attempt.lost)
         earlier = server.out[:server.out.index(attempt)]
@@ -600,7 +629,7 @@
             self.mean_us[index] = max(1.0, mean_us + (elapsed_us - mean_us) / 8)
         if event.final or request.done:
             self.close(request)
-        elif request.out() == 0:
+        elif request.out == 0:
             # hazard: when all upstreams are slow at once, time-outs double the load that keeps them slow
             if event.outcome in REISSUED and self.may_send(request) and self.reissues.in_hand >= 1.0:
                 self.place(request)
@@ -657,27 +686,36 @@
             self.actions.append(api.Subscribe(True))
             self.ask_list_at(self.now_us + max(FIRST_RETRY_US, self.settings.ask_within_us // 2))
 
-    def wake(self, at_us: int, what: str, ident: int, attempt: int = 0) -> None:
-        heapq.heappush(self.wakeups, (max(at_us, self.now_us + 1), what, ident, attempt))
+    def wake(self, at_us: int, what: str, ident: int) -> None:
+        at_us = max(at_us, self.now_us + 1)
+        heapq.heappush(self.wakeups, (at_us, what, ident))
+        self.wanted_us = min(self.wanted_us, at_us)
 
     def arm(self) -> None:
-        times = [self.wakeups[0][0]] if self.wakeups else []
+        at_us = self.wanted_us
         if self.buffer is not None:  # a resting slot opens by time, not by an event
             index = self.buffer.event.class_index
             self.open_rested()
-            times.extend(heap[0][0] for heap in (self.rests, self.mutes[index]) if heap)
-        if times and (self.armed_us == 0 or min(times) < self.armed_us):
-            self.armed_us = min(times)
-            self.actions.append(api.SetTimer(self.armed_us, 0))
+            at_us = min(at_us, *(heap[0][0] for heap in (self.rests, self.mutes[index]) if heap), NEVER_US)
+        if at_us < self.armed_us:
+            self.armed_us = at_us
+            self.actions.append(api.SetTimer(at_us, 0))
 
     def run_due(self) -> None:
         while self.wakeups and self.wakeups[0][0] <= self.now_us:
-            _, what, ident, number = heapq.heappop(self.wakeups)
+            _, what, ident = heapq.heappop(self.wakeups)
             if what == "list":
                 self.ask_list()
             elif what == "copy" and ident in self.requests:
                 self.send_copy(self.requests[ident])
-            elif what == "silence" and ident in self.requests:
-                self.on_silence(self.requests[ident].attempts[number])
             elif what == "buffer" and self.buffer is not None and self.buffer.event.request == ident:
                 self.finish(self.buffer)
+        self.wanted_us = self.wakeups[0][0] if self.wakeups else NEVER_US
+        for index, unheard in enumerate(self.unheard):
+            after_us = self.silent_after_us(index)
+            while unheard and (unheard[0].ended is not None or unheard[0].sent_us + after_us <= self.now_us):
+                attempt = unheard.popleft()
+                if attempt.ended is None:
+                    self.on_silence(attempt)
+            if unheard:
+                self.wanted_us = min(self.wanted_us, unheard[0].sent_us + after_us)
--- a/plovertrail/decisions/weighted.py
+++ b/plovertrail/decisions/weighted.py
@@ -29,19 +29,31 @@
     def __contains__(self, member: int) -> bool:
         return member in self._place
 
+    @property
+    def whole(self) -> float:
+        """The sum of all weights."""
+        return self._sums[1]
+
     def __iter__(self) -> Iterator[int]:
         """In the order in which they came."""
         return iter(self._place)
 
     def set(self, member: int, weight: float) -> None:
         """Add a member, or change its weight."""
-        place = self._place.get(member)
-        if place is None:
+        if not self.change(member, weight):
             if not self._free:
                 self._grow()
             place = self._place[member] = self._free.pop()
             self._members[place] = member
+            self._put(place, weight)
+
+    def change(self, member: int, weight: float) -> bool:
+        """Give a member another weight; False if it is none."""
+        place = self._place.get(member)
+        if place is None:
+            return False
         self._put(place, weight)
+        return True
 
     def discard(self, member: int) -> None:
         place = self._place.pop(member, None)
@@ -70,10 +82,9 @@
         if sums[place] == weight:
             return
         sums[place] = weight
-        place //= 2
-        while place:
-            sums[place] = sums[2 * place] + sums[2 * place + 1]
-            place //= 2
+        while place > 1:
+            sums[place >> 1] = sums[place] + sums[place ^ 1]
+            place >>= 1
 
     def _grow(self) -> None:
         weights = self._sums[self._places:]
--- a/tests/decisions/test_draw.py
+++ b/tests/decisions/test_draw.py
@@ -120,7 +120,7 @@
             played.tell_list([entry], api.ListKind.DELTA)
         check_books(played.balancer)
         for request in played.balancer.requests.values():
-            if request.out() == 0 and not request.done:
+            if request.out == 0 and not request.done:
                 expected = choices(played.balancer, request)
                 drawn = played.balancer.draw(request)
                 assert (drawn is None) == (not expected) and (drawn is None or drawn.entry.id in expected)
