A stated share for each of many instances: servers, connections and dials

Thousands of instances with little traffic each must not hold more of a server than it bears together. The decisions are decisions/share.py: a subset of servers by rendezvous hashing over whole keyed groups, which widens while it is short and narrows after a calm, and budgets of connections and dials that leave room for chance. A list of over 250 servers is told to the module in slices; drains and leaves overtake them.

--- a/plovertrail/config/operator.py
+++ b/plovertrail/config/operator.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import hashlib
 import ipaddress
+import os
 import re
 import tomllib
 from collections.abc import Mapping
@@ -31,6 +33,7 @@
     TenantSource,
     unreachable,
 )
+from plovertrail.decisions.share import Bounds, Fleet
 
 LARGEST_FILE = 16 << 20
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
@@ -40,6 +43,7 @@
                       "upgrade", "content-length", "expect", "x-deadline-ms", "idempotency-key"))
 ORIGIN = re.compile(r"[A-Za-z][A-Za-z0-9+.-]*://[A-Za-z0-9._-]+(:[0-9]{1,5})?")
 LONGEST_REGEX = 1000
+FROM_ENVIRONMENT = "env:"
 
 Whole = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
@@ -108,6 +112,17 @@
     damping: bool = True
 
 
+class ShareTable(msgspec.Struct, kw_only=True):
+    servers: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
+    connections: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
+    dials_per_s: Annotated[float, msgspec.Meta(ge=0, le=1_000_000)] = 0.0
+
+
+class FleetTable(msgspec.Struct, kw_only=True):
+    name: str = ""
+    instances_from: str = ""
+
+
 class PoolTable(msgspec.Struct, kw_only=True):
     servers: list[Any] = []
     servers_from: list[str] = []
@@ -126,6 +141,7 @@
     cross_zone_cost: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     max_sockets: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
     max_sockets_per_server: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
+    share: dict[str, Any] = {}
     classes: dict[str, Any] = {}
 
 
@@ -180,6 +196,7 @@
     tenants: dict[str, Any] = {}
     daemon: dict[str, Any] = {}
     websockets: dict[str, Any] = {}
+    fleet: dict[str, Any] = {}
 
 
 # What the daemon is built from
@@ -220,6 +237,7 @@
     guards: Guards
     max_sockets: int  # beside its connections for requests; 0 = none
     max_sockets_per_server: int
+    bounds: Bounds  # what one of its servers bears from all instances
 
     @property
     def lists(self) -> list[tuple[str, bool]]:
@@ -235,6 +253,14 @@
     limits: sockets.Limits
 
 
+@dataclass(frozen=True, slots=True)
+class FleetSetup:
+    """The instances that share the pools' servers."""
+
+    fleet: Fleet
+    list_path: str  # the file that lists them, and so tells their number; empty: none
+
+
 @dataclass(frozen=True, slots=True)
 class Setup:
     """A whole file, checked."""
@@ -251,6 +277,12 @@
     control_socket: str
     socket_log: str  # empty: standard error
     websockets: Mapping[str, WebSocket]
+    fleet: FleetSetup
+
+    def classes_at(self, pool: str) -> list[RequestClass]:
+        """Those whose requests may go to a pool."""
+        names = {route.class_name for route in self.routes.routes if pool in route.pools}
+        return [kind for kind in self.classes if kind.name in names]
 
     def class_index(self, name: str) -> int:
         return next(i for i, kind in enumerate(self.classes) if kind.name == name)
@@ -303,7 +335,7 @@
         if whole is None:
             # read on with what there is, so that all problems are told at once
             parts: dict[str, Any] = {"listeners": {}, "pools": {}, "classes": {}, "limits": {}, "tenants": {},
-                                     "daemon": {}, "websockets": {}, "routes": []}
+                                     "daemon": {}, "websockets": {}, "fleet": {}, "routes": []}
             parts |= {key: item for key, item in raw.items() if type(item) is type(parts.get(key))}
             whole = FileTable(**parts)
         limits, instances = self.limits(whole.limits)
@@ -316,6 +348,7 @@
                  if (pool := self.pool(name, item, classes, tenants, instances, home)) is not None}
         websockets = {name: made for name, item in whole.websockets.items()
                       if (made := self.websocket(name, item)) is not None}
+        fleet = self.fleet(whole.fleet, instances, pools)
         routes = self.routes(whole.routes, classes, whole)
         if not whole.routes and "routes" in raw:
             self.wrong("routes", "there is no route", "write at least one [[routes]]")
@@ -325,7 +358,7 @@
             return None
         return Setup(self.path, limits, tuple(listeners), pools, tuple(classes.values()), key_headers,
                      tuple(tenants), RouteTable(routes), daemon.state_file, daemon.control_socket,
-                     daemon.socket_log, websockets)
+                     daemon.socket_log, websockets, fleet)
 
     def name(self, name: str, place: str) -> None:
         if not NAME.fullmatch(name):
@@ -461,6 +494,7 @@
         guards = Guards(bounds.allow_empty, bounds.most_dropped, bounds.judged_from, bounds.allow_older,
                         bounds.largest_weight, frozenset(bounds.zones), bounds.damping)
         servers = self.servers(table.servers, place)
+        share = read_table(ShareTable, table.share, f"{place}.share", self.problems) or ShareTable()
         settings = Settings(
             classes=list(own.values()) or [RequestClass("none", 1, 1)], tenants=tenants, instances=instances,
             zone=0, max_attempts=table.attempts, max_retry_after_us=time("retry_after"),
@@ -470,7 +504,28 @@
             cross_zone_fee=table.cross_zone_cost, weighted=True, draw_by_weight=True)
         return Pool(name, settings, time("idle_timeout", 0), table.max_connections, servers, home,
                     tuple(table.servers_from), table.whole == "checksum", guards, table.max_sockets,
-                    table.max_sockets_per_server or table.max_sockets)
+                    table.max_sockets_per_server or table.max_sockets,
+                    Bounds(share.servers, share.connections, share.dials_per_s))
+
+    def fleet(self, raw: object, instances: int, pools: Mapping[str, Pool]) -> FleetSetup:
+        """Who this instance is among those that share the servers."""
+        table = read_table(FleetTable, raw, "fleet", self.problems) or FleetTable()
+        name = table.name
+        if name.startswith(FROM_ENVIRONMENT):
+            variable = name.removeprefix(FROM_ENVIRONMENT)
+            name = os.environ.get(variable, "")
+            if not name:
+                self.wrong("fleet.name", f"the environment has no {variable}",
+                           "set it to a name that this instance alone has, the same at each start")
+        for pool in pools.values():
+            if pool.bounds.servers and not table.name:
+                # hazard: instances of one name would all have the same servers
+                place = f"{key_path('pools', pool.name)}.share.servers"
+                self.wrong("fleet.name", f"missing, and {place} chooses by it",
+                           'write one that this instance alone has, as "app-17" or "env:POD_NAME"')
+                break
+        digest = hashlib.blake2b(name.encode(), digest_size=8).digest()
+        return FleetSetup(Fleet(instances, int.from_bytes(digest)), table.instances_from)
 
     def overridden(self, kind: RequestClass, changes: OverrideTable, place: str) -> RequestClass:
         aim_us = kind.aim_us
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -6,17 +6,20 @@
 import gc
 import logging
 import os
+import random
 import resource
 import signal
 import socket
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
 from plovertrail.config import operator
 from plovertrail.config.problems import ConfigError, Problem
 from plovertrail.control import ControlSocket
-from plovertrail.decisions.membership import State
+from plovertrail.decisions import share
+from plovertrail.decisions.membership import Candidate, State
 from plovertrail.fronts.ordinary import OrdinaryFront
 from plovertrail.fronts.relay import SOCKET_BYTES
 from plovertrail.fronts.sockets import SocketKeeper
@@ -24,7 +27,7 @@
 from plovertrail.host import Host, ServerPool
 from plovertrail.line_log import LineLog
 from plovertrail.roster import FirstRead, Roster
-from plovertrail.sources.files import FileSource, first_read
+from plovertrail.sources.files import FileSource, FileWatch, first_read
 from plovertrail.state_keeper import StateKeeper
 from plovertrail.upstreams.connections import AnswerRules, ConnectionPool
 
@@ -90,22 +93,40 @@
 class RunningPool:
     """A pool in force: what was configured, its place in the host, and its connections."""
 
-    def __init__(self, host: Host, config: operator.Pool, max_answer: int, roster: Roster, seed: int) -> None:
+    def __init__(self, host: Host, config: operator.Pool, max_answer: int, roster: Roster, seed: int,
+                 chosen_by: tuple[int, str]) -> None:
         self.config = config
+        self.chosen_by = chosen_by  # this instance's number, and which servers are chosen together
         self.max_answer = max_answer
         self.roster = roster
         self.connections = ConnectionPool(
             config.idle_us, config.settings.connect_timeout_us, most=config.max_connections,
             rules=AnswerRules(max_answer, FAULTS, until_close=True))
         self.pool = host.add_pool(config.name, config.settings, seed, self.connections)
-
-    def fits(self, config: operator.Pool, max_answer: int) -> bool:
+        self.budget = share.Budget()
+        self.overdrawn = ""
+        if config.bounds.servers:
+            zones = config.settings.cross_zone_fee > 0
+            host.use_subset(self.pool, share.Subset(
+                chosen_by[0], config.bounds.servers, chosen_by[1], config.settings.zone if zones else None))
+
+    def take_part(self, fleet: share.Fleet) -> None:
+        """Keep to this instance's part of what the servers that are listed bear from the whole fleet."""
+        bounds, servers = self.config.bounds, len(self.roster.state.members)
+        self.overdrawn = share.overdrawn(fleet, bounds, servers)
+        budget = share.budget(fleet, bounds, servers)
+        if budget != self.budget:
+            self.budget = budget
+            self.connections.limit(budget, random.random())
+
+    def fits(self, config: operator.Pool, max_answer: int, chosen_by: tuple[int, str]) -> bool:
         """Whether it can go on under a new setup, with other lists at most. Hazard: classes are known by
         their number, and requests that are open would be taken for those of another class."""
         mine = self.config
         return (mine.settings == config.settings and mine.idle_us == config.idle_us
                 and mine.max_connections == config.max_connections and self.max_answer == max_answer
-                and mine.home_zone == config.home_zone)
+                and mine.home_zone == config.home_zone and mine.bounds.servers == config.bounds.servers
+                and (self.chosen_by == chosen_by or not config.bounds.servers))
 
     def retire(self, host: Host) -> None:
         host.retire(self.pool)
@@ -127,6 +148,9 @@
         self.fronts: dict[str, OrdinaryFront] = {}
         self.control = ControlSocket(self, setup.control_socket)
         self.closing: list[OrdinaryFront] = []  # their addresses are configured no more
+        self.fleet = share.Fleet()
+        self.fleet_watch: FileWatch | None = None
+        self.fleet_problem = ""
         self.current = Current(Generation(0, setup, {}, {}, {}))
         self.apply(setup, read_lists(setup, frozenset()))
 
@@ -151,12 +175,14 @@
             roster = old.roster if old is not None else self._roster(name)
             sources = [FileSource(path, config.checksum) for path in config.files]
             pool = old
-            if pool is None or not pool.fits(config, setup.limits.max_answer):
+            chosen_by = setup.fleet.fleet.number, share.group_of(setup.classes_at(name))
+            if pool is None or not pool.fits(config, setup.limits.max_answer, chosen_by):
                 if old is not None:
                     replaced.append(old)
                 roster.pool = None
                 roster.configure(config.servers, sources, config.guards, config.home_zone, fresh)
-                pool = RunningPool(self.host, config, setup.limits.max_answer, roster, self.seeds())
+                pool = RunningPool(self.host, config, setup.limits.max_answer, roster, self.seeds(),
+                                   chosen_by)
                 roster.attach(pool.pool)
             else:
                 pool.config = config
@@ -174,8 +200,42 @@
             self.generation.plans,
             {name: (pool.max_sockets, pool.max_sockets_per_server) for name, pool in setup.pools.items()},
             self.fronts)
+        self._follow_fleet(setup.fleet)
         self._list_changed()
 
+    def _follow_fleet(self, setup: operator.FleetSetup) -> None:
+        """Count the instances by their list, where there is one; limits.instances holds until it is read."""
+        watch = self.fleet_watch
+        if watch is not None and watch.source.path == setup.list_path:
+            self.fleet = replace(setup.fleet, size=self.fleet.size)
+            return
+        self.fleet, self.fleet_problem = setup.fleet, ""
+        if watch is not None:
+            watch.stop()
+            self.fleet_watch = None
+        if setup.list_path:
+            source = FileSource(setup.list_path, False)
+            self.fleet_watch = FileWatch(source, self._fleet_listed, self._fleet_unread)
+
+    async def _fleet_listed(self, candidate: Candidate) -> None:
+        """The instances are listed anew. Hazard: taken for one instance, an empty list would let each take
+        all that the servers bear."""
+        size = len({entry.id for entry in candidate.entries})
+        if not size:
+            await self._fleet_unread(candidate.source, "it lists no instance")
+            return
+        self.fleet_problem = ""
+        if size != self.fleet.size:
+            self.fleet = replace(self.fleet, size=size)
+            log.info("%d instances share the servers", size)
+            self._list_changed()
+
+    async def _fleet_unread(self, source: str, why: str) -> None:
+        if why != self.fleet_problem:
+            log.error("the list of instances, %s, can't be used: %s; %d are reckoned with",
+                      source, why, self.fleet.size)
+        self.fleet_problem = why
+
     def _roster(self, name: str) -> Roster:
         state = self.kept.pop(name, None) or State(started=bool(self.generation.number))
         return Roster(name, self.host, state, partial(self._elsewhere, name), self._list_changed)
@@ -187,6 +247,11 @@
                 for ident, member in pool.roster.state.members.items()}
 
     def _list_changed(self) -> None:
+        for pool in self.pools.values():
+            before = pool.overdrawn
+            pool.take_part(self.fleet)
+            if pool.overdrawn and not before:
+                log.error("%s: %s", pool.config.name, pool.overdrawn)
         self.keeper.keep(lambda: {name: pool.roster.state for name, pool in self.pools.items()})
 
     def _bind(self, setup: operator.Setup) -> dict[str, socket.socket]:
@@ -263,7 +328,12 @@
             used = {number: server.used for number, server in running.pool.balancer.servers.items()}
             pools[name] = {
                 "generation": state.generation, "drained_by_hand": sorted(state.by_hand),
-                "held_back": sorted(state.held), "problems": list(running.roster.loud()),
+                "held_back": sorted(state.held),
+                "problems": [*running.roster.loud(), *filter(None, [running.overdrawn])],
+                "share": {"connections": running.budget.connections,
+                          "connections_each": running.budget.connections_each,
+                          "dial_gap_us": running.budget.dial_gap_us,
+                          "servers": len(running.pool.serving)},
                 "sources": {layer.source: {"servers": len(layer.entries), "version": layer.version}
                             for layer in state.layers},
                 "leaving": [member.entry.id for member, _ in state.leaving.values()],
@@ -272,7 +342,8 @@
                              "zone": member.entry.zone, "weight": member.entry.weight,
                              "open": used.get(member.number, 0)}
                             for ident, member in state.members.items()]}
-        return {"generation": self.generation.number, "file": self.generation.setup.path, "pools": pools,
+        return {"fleet": {"instances": self.fleet.size, "problem": self.fleet_problem},
+                "generation": self.generation.number, "file": self.generation.setup.path, "pools": pools,
                 "connections": self.count(), "requests": len(self.host.requests),
                 "sockets": len(self.sockets.relays),
                 "state_file": self.keeper.problem or ("kept" if self.keeper.path else "off")}
@@ -287,6 +358,8 @@
         self.control.stop()
         for pool in self.pools.values():
             pool.roster.stop()
+        if self.fleet_watch is not None:
+            self.fleet_watch.stop()
         longest_us = max(kind.deadline_us for kind in self.generation.setup.classes)
         for front in fronts:
             front.drain_backlog()
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -170,7 +170,7 @@
         self.wanted_us = self.armed_us = NEVER_US  # when something is due next; the next timer asked for
         self.list_failures = 0
         self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
-        self.ask_list_at(now_us)
+        self.ask_list_at(now_us + self.list_turn_us())
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         self.now_us = now_us
@@ -642,11 +642,12 @@
             # doubles with each failure; jittered, as all sidecars fail together; inside ask-within (rule 3)
             longest_us = max(1, self.settings.ask_within_us // 2)
             backoff_us = min(FIRST_RETRY_US * 2 ** min(self.list_failures - 1, 20), longest_us)
-            self.ask_list_at(self.now_us + int(backoff_us * (0.5 + self.random.random() / 2)))
+            after_us = int(backoff_us * (0.5 + self.random.random() / 2))
+            self.ask_list_at(self.now_us + max(after_us, min(self.list_turn_us(), longest_us)))
             return
         if event.kind is not api.ListKind.CACHED:
             self.list_failures = self.ask_list_us = 0
-        if event.kind is not api.ListKind.DELTA:
+        if event.kind is not api.ListKind.DELTA and not event.part:
             for number in self.servers.keys() - {entry.id for entry in event.upstreams}:
                 self.forget(number)
         self.open_rested()  # hazard: without a draw nothing else would take off what is over
@@ -675,6 +676,13 @@
             if self.warmth(server) < 1.0:  # all sidecars hear of it within moments: no burst of first sends
                 self.pace_cold(server, self.random.random())
 
+    def list_turn_us(self) -> int:
+        """This sidecar's turn, at random, among all that ask for the list at one moment: after a restart of
+        the fleet, or of discovery. Hazard: what discovery can't bear it ends, and all ask again."""
+        if self.settings.list_calls_per_s <= 0.0:
+            return 0
+        return int(1e6 * self.random.random() * self.settings.instances / self.settings.list_calls_per_s)
+
     def ask_list_at(self, at_us: int) -> None:
         if self.settings.list_on_request:
             self.ask_list_us = at_us
--- a/plovertrail/decisions/interface.py
+++ b/plovertrail/decisions/interface.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Set
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 
@@ -112,6 +112,7 @@
     second_copies: bool = False  # two attempts of a request may be out together
     list_on_request: bool = False  # upstream changes come only after Subscribe or FetchList
     ask_within_us: int = 0  # without a subscription, the list must be asked for this often
+    list_calls_per_s: float = 0.0  # what the list's service bears from all instances together; 0 = not known
     cold_share: float = 1.0  # an upstream boots at this share of its capacity or more
     warm_up_us: int = 0  # and is warm after this
     overload_factor: float = 1.0  # a cold upstream falls over at this multiple of its capacity
@@ -130,7 +131,7 @@
         _require(0 < self.cold_share <= 1, "a cold_share above 0, at most 1", self.cold_share)
         _require(self.overload_factor > 0, "an overload_factor above 0", self.overload_factor)
         for name in ("zone", "tick_us", "max_retry_after_us", "connect_timeout_us", "ask_within_us",
-                     "warm_up_us", "fall_us", "cross_zone_fee"):
+                     "warm_up_us", "fall_us", "cross_zone_fee", "list_calls_per_s"):
             _require(getattr(self, name) >= 0, f"a {name} of 0 or more", getattr(self, name))
 
 
@@ -155,6 +156,7 @@
     kind: ListKind
     upstreams: list[Upstream] = field(default_factory=list)
     version: int = 0
+    part: bool = False  # of a long list: what is not in it stays as it was, and who is gone is named
 
 
 @dataclass(slots=True)
@@ -169,7 +171,7 @@
     write: bool = False
     earlier_attempts: int = 0  # by other pools, all known not to have run
     kept_attempts: int = 0  # left to the pools that may be asked after this one
-    barred: Set[int] = frozenset()  # upstreams that take none of its kind now; may be a live view
+    barred: Container[int] = frozenset()  # upstreams that take none of its kind now; may be a live view
 
 
 @dataclass(slots=True)
--- a/plovertrail/exchange.py
+++ b/plovertrail/exchange.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import enum
-from collections.abc import Callable, Set
+from collections.abc import Callable, Container, Set
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -117,6 +117,13 @@
               ended: Callable[[Result], None]) -> Flight:
         """Begin an attempt. `ended` is called once, later, unless the attempt is given up first."""
 
+    def shut(self, new: bool) -> Container[int]:
+        """The upstreams that no attempt could reach now, as it would need a further connection and may have
+        none; a live view. `new`: one that must have a connection of its own."""
+
+    def next_dial_us(self) -> int:
+        """When a further connection may be made; 0 = at once."""
+
     def close_idle(self, upstream: int) -> None:
         """Close the idle connections to an upstream."""
 
--- a/plovertrail/fronts/sockets.py
+++ b/plovertrail/fronts/sockets.py
@@ -132,7 +132,8 @@
     def servers_changed(self, pool: ServerPool, event: UpstreamsUpdated) -> None:
         """Word of servers has come."""
         for entry in event.upstreams:
-            self.tell(api.ServerChanged((pool.name, entry.id), WORDS[entry.state]))
+            if (pool.name, entry.id) in self.table.by_server:
+                self.tell(api.ServerChanged((pool.name, entry.id), WORDS[entry.state]))
         if event.kind in (ListKind.FULL, ListKind.CACHED):
             listed = {entry.id for entry in event.upstreams}
             for name, number in list(self.table.by_server):
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -10,19 +10,34 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Container, Sequence
+from dataclasses import dataclass, field, replace
 
 from plovertrail.clock import clock_us
 from plovertrail.decisions import interface as api
 from plovertrail.decisions.balance import Balancer, Reissues
 from plovertrail.decisions.failover import Standing, kept_attempts, next_pool
+from plovertrail.decisions.share import Subset
 from plovertrail.exchange import Answer, Call, Flight, Handshake, Result, Upstreams, Verdict
 
 log = logging.getLogger(__name__)
 
 ANSWER_MARGIN_US = 10_000  # an answer sets out so long before the client's time is out, to be there in time
 BACKSTOP_US = 5_000  # the host's own deadline comes so long after the module's
+SLICE = 250  # servers of a list that are told in one go: a module takes about 10 us for each
+NARROW_S = 1.0  # between two looks at what a subset can do without
+Address = tuple[str, int]
+
+
+class Either:
+    """What is in one of two."""
+
+    def __init__(self, one: Container[int], other: Container[int]) -> None:
+        self.one = one
+        self.other = other
+
+    def __contains__(self, item: object) -> bool:
+        return item in self.one or item in self.other
 
 
 class ServerPool:
@@ -34,8 +49,14 @@
         self.settings = settings
         self.upstreams = upstreams
         self.balancer = Balancer(settings, seed, clock_us(), reissues)
-        self.addresses: dict[int, tuple[str, int]] = {}
+        self.addresses: dict[int, Address] = {}
         self.serving: set[int] = set()  # the servers that new requests may go to
+        self.subset: Subset | None = None  # None: this instance uses all servers
+        self.listed: dict[int, Address] = {}  # also those that are not in the subset
+        self.untold: dict[int, api.Upstream] = {}  # of a long list, what the module has not been told yet
+        self.telling: asyncio.Handle | None = None
+        self.retired = False
+        self.dial_timer: asyncio.TimerHandle | None = None
 
     def forget(self, ident: int) -> None:
         """Nothing new goes to a server, or to its old address."""
@@ -43,15 +64,54 @@
         if self.addresses.pop(ident, None) is not None:
             self.upstreams.forget(ident)
 
-    def list_changed(self, event: api.UpstreamsUpdated, addresses: dict[int, tuple[str, int]]) -> None:
-        """Follow a list; `addresses` has those of the entries of the event."""
-        if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
-            for ident in self.addresses.keys() - addresses.keys():
+    def narrowed(self, event: api.UpstreamsUpdated, addresses: dict[int, Address]) -> api.UpstreamsUpdated:
+        """What a list is to this instance; `addresses` has those of its entries."""
+        whole = event.kind in (api.ListKind.FULL, api.ListKind.CACHED) and not event.part
+        gone = self.listed.keys() - addresses.keys() if whole else set()
+        self.listed |= addresses
+        for ident in gone | {e.id for e in event.upstreams if e.state is api.UpstreamState.GONE}:
+            self.listed.pop(ident, None)
+        if self.subset is not None and event.kind is not api.ListKind.FAILED:
+            if whole:
+                mine = self.subset.only(addresses.keys(), event.upstreams, addresses)
+            else:
+                mine = self.subset.listed(event.upstreams, addresses)
+            return replace(event, upstreams=mine, part=True)
+        if len(event.upstreams) > SLICE:  # in slices no part says who is missing
+            left = [api.Upstream(ident, api.UpstreamState.GONE) for ident in gone]
+            return replace(event, upstreams=[*left, *event.upstreams], part=True)
+        if whole:
+            self.untold.clear()
+        return event
+
+    def sliced(self, event: api.UpstreamsUpdated) -> api.UpstreamsUpdated:
+        """What is told at once: all of a short list; of a long one what drains or has gone. The rest waits,
+        and is overtaken by what a later list says."""
+        if not self.untold and len(event.upstreams) <= SLICE:
+            return event
+        now = []
+        for entry in event.upstreams:
+            self.untold.pop(entry.id, None)
+            if entry.state is api.UpstreamState.READY:
+                self.untold[entry.id] = entry
+            else:
+                now.append(entry)
+        return replace(event, upstreams=now)
+
+    def next_slice(self) -> list[api.Upstream]:
+        return [self.untold.pop(ident) for ident in list(self.untold)[:SLICE]]
+
+    def follow(self, event: api.UpstreamsUpdated) -> None:
+        """Keep what new requests may go to in step with what the module is told."""
+        if event.kind in (api.ListKind.FULL, api.ListKind.CACHED) and not event.part:
+            for ident in self.addresses.keys() - {entry.id for entry in event.upstreams}:
                 self.forget(ident)
         for entry in event.upstreams:
-            if self.addresses.get(entry.id, addresses[entry.id]) != addresses[entry.id]:
+            address = self.listed.get(entry.id)
+            if address is None or self.addresses.get(entry.id, address) != address:
                 self.forget(entry.id)
-            self.addresses[entry.id] = addresses[entry.id]
+            if address is not None and entry.state is not api.UpstreamState.GONE:
+                self.addresses[entry.id] = address
             if entry.state is api.UpstreamState.READY:
                 self.serving.add(entry.id)
             else:
@@ -113,9 +173,10 @@
     def retire(self, pool: ServerPool) -> None:
         """A pool that is configured no more: nothing new goes to its servers, what is out finishes."""
         self.pools.remove(pool)
-        event = api.UpstreamsUpdated(api.ListKind.FULL)
-        pool.list_changed(event, {})
-        self._tell(pool, event)
+        pool.retired = True
+        pool.subset = None
+        pool.untold.clear()
+        self._tell_list(pool, api.UpstreamsUpdated(api.ListKind.FULL))
         for request in list(self.requests.values()):
             # hazard: one that waits in its buffer would wait for a slot that never comes
             if request.pool is pool and not request.over and all(a.ended for a in request.attempts):
@@ -147,12 +208,48 @@
                 self._tell(request.pool, api.RequestGone(ident))
 
     def list_changed(self, pool: ServerPool, event: api.UpstreamsUpdated,
-                     addresses: dict[int, tuple[str, int]]) -> None:
+                     addresses: dict[int, Address]) -> None:
         """What is known of a pool's servers has changed."""
-        pool.list_changed(event, addresses)
         self.servers_changed(pool, event)
+        self._tell_list(pool, pool.sliced(pool.narrowed(event, addresses)))
+        self._tell_rest(pool, event.kind)
+
+    def use_subset(self, pool: ServerPool, subset: Subset) -> None:
+        """This instance uses a part of a pool's servers from now on. Before the first list."""
+        pool.subset = subset
+        self.loop.call_later(NARROW_S, self._narrow, pool)
+
+    def _tell_list(self, pool: ServerPool, event: api.UpstreamsUpdated) -> None:
+        pool.follow(event)
         self._tell(pool, event)
 
+    def _tell_rest(self, pool: ServerPool, kind: api.ListKind) -> None:
+        """Hazard: to tell of 10,000 servers in one go would hold up all that is open for longer than some of
+        it has left."""
+        if pool.untold and pool.telling is None:
+            pool.telling = self.loop.call_soon(self._tell_slice, pool, kind)
+
+    def _tell_slice(self, pool: ServerPool, kind: api.ListKind) -> None:
+        pool.telling = None
+        entries = pool.next_slice()
+        if entries:
+            self._tell_list(pool, api.UpstreamsUpdated(kind, entries, part=True))
+            self._tell_rest(pool, kind)
+
+    def _changed_subset(self, pool: ServerPool, entries: list[api.Upstream]) -> None:
+        if entries:
+            event = api.UpstreamsUpdated(api.ListKind.DELTA, entries)
+            self._tell_list(pool, pool.sliced(event))
+            self._tell_rest(pool, api.ListKind.DELTA)
+
+    def _narrow(self, pool: ServerPool) -> None:
+        if pool.retired or pool.subset is None:
+            return
+        self.loop.call_later(NARROW_S, self._narrow, pool)
+        busy = {attempt.upstream for request in self.requests.values() for attempt in request.attempts
+                if attempt.pool is pool and not attempt.ended}
+        self._changed_subset(pool, pool.subset.narrow(clock_us(), busy))
+
     @property
     def ready(self) -> bool:
         """Whether there is a server to send to."""
@@ -193,7 +290,9 @@
         if isinstance(action, api.Send):
             self._send(pool, action)
         elif isinstance(action, api.Refuse):
-            self._gave_up(pool, action.request, Answer(Verdict.REFUSED, action.retry_after_us))
+            self._gave_up(pool, action.request, Answer(Verdict.REFUSED, self._back_after_us(pool, action)))
+            if pool.subset is not None:
+                self._changed_subset(pool, pool.subset.short(clock_us()))
         elif isinstance(action, api.Fail):
             self._gave_up(pool, action.request, Answer(Verdict.FAILED))
         elif isinstance(action, api.SetTimer):
@@ -239,7 +338,9 @@
             self._answer(request.ident, answer)
             return
         pool, call = request.pools[number], request.call
-        barred = handshake.barred(pool.name) if handshake is not None else frozenset()
+        barred = pool.upstreams.shut(handshake is not None)
+        if handshake is not None:
+            barred = Either(barred, handshake.barred(pool.name))
         standing.asked = number + 1
         request.pool, request.first = pool, len(request.attempts)
         self._tell(pool, api.RequestArrived(request.ident, request.due_us, call.class_index, call.tenant,
@@ -247,6 +348,24 @@
                                             earlier_attempts=standing.attempts,
                                             kept_attempts=kept_attempts(standing, serving, number, most),
                                             barred=barred))
+        self._wake_for_dial(pool, request)
+
+    def _wake_for_dial(self, pool: ServerPool, request: Request) -> None:
+        """Hazard: a request that waits for a connection that may be made later has no event to wake it."""
+        wait_us = pool.upstreams.next_dial_us() - clock_us()
+        if wait_us > 0 and not request.over and not request.attempts and pool.dial_timer is None:
+            pool.dial_timer = self._at(clock_us() + wait_us, self._may_dial, pool)
+
+    def _may_dial(self, pool: ServerPool) -> None:
+        pool.dial_timer = None
+        self._tell(pool, api.TimerFired(0))
+
+    def _back_after_us(self, pool: ServerPool, action: api.Refuse) -> int:
+        """A client that is refused for want of a connection comes back in vain before one may be made."""
+        if not action.retry_after_us:
+            return 0
+        most_us = pool.settings.max_retry_after_us
+        return max(action.retry_after_us, min(most_us, pool.upstreams.next_dial_us() - clock_us()))
 
     def _answer(self, ident: int, answer: Answer) -> None:
         """The one place of final answers."""
--- a/plovertrail/upstreams/connections.py
+++ b/plovertrail/upstreams/connections.py
@@ -5,13 +5,15 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Container
 from dataclasses import dataclass
 
 import httptools
 
 from plovertrail.clock import clock_us
 from plovertrail.decisions.interface import Outcome
+from plovertrail.decisions.share import Budget, Dials
 from plovertrail.exchange import Call, Handshake, Result, Tunnel
 
 log = logging.getLogger(__name__)
@@ -109,6 +111,7 @@
         self.head_done = False
         self.switched = False  # the answer was a 101 to a handshake
         pool.connections.setdefault(upstream, set()).add(self)
+        pool.count += 1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -305,6 +308,20 @@
             self.transport.abort()
 
 
+class Shut:
+    """The upstreams that no attempt can reach now, as it would need a connection that may not be made."""
+
+    def __init__(self, pool: ConnectionPool, new: bool) -> None:
+        self.pool = pool
+        self.new = new
+
+    def __contains__(self, upstream: object) -> bool:
+        assert isinstance(upstream, int)
+        if not self.new and upstream in self.pool.idle:
+            return False
+        return not self.pool.may_dial(upstream)
+
+
 class ConnectionPool:
     """Connections to all upstreams of a list. Hazards: it goes by upstream, not by address, as an upstream
     may come to the address of one that has gone; and the one that has been idle for longest is used first, as
@@ -317,7 +334,11 @@
         # share of connections that broke at their next request, by log2 of their idle time
         self.breaks = [0.0] * 64
         self.dial_timeout_us = dial_timeout_us
-        self.most = most  # connections
+        self.configured = self.most = most  # connections
+        self.count = 0
+        self.coming: Counter[int] = Counter()  # dials that have not begun: each is sure of its place
+        self.budget = Budget()  # this instance's part of what an upstream bears from all
+        self.dial_turns: Dials | None = None
         self.rules = rules or AnswerRules()
         self.ended = False  # nothing new comes; what is open finishes
         self.connections: dict[int, set[Connection]] = {}  # all there are, also those coming up
@@ -345,12 +366,55 @@
                 connection.send(attempt)
                 return attempt
             connection.close()
+        if not self.may_dial(upstream):
+            # the module was told so; but several attempts may have gone for one place
+            self.loop.call_soon(self.not_sent, attempt)
+            return attempt
+        if self.dial_turns is not None:
+            self.dial_turns.took(now_us)
+        self.coming[upstream] += 1
         task = self.loop.create_task(self.dial(upstream, address, attempt))
         self.dials.add(task)
         task.add_done_callback(self.dials.discard)
         return attempt
 
+    @staticmethod
+    def not_sent(attempt: Attempt) -> None:
+        if not attempt.given_up:
+            attempt.end(Result(Outcome.NOT_SENT))
+
+    def limit(self, budget: Budget, uniform: float) -> None:
+        """Keep to this instance's part from now on; `uniform` is a random number from 0 to 1. What is open
+        beyond it closes as it becomes idle."""
+        self.budget = budget
+        self.most = min(self.configured, budget.connections or self.configured)
+        if not budget.dial_gap_us:
+            self.dial_turns = None
+        elif self.dial_turns is None:
+            self.dial_turns = Dials(budget.dial_gap_us, clock_us(), uniform)
+        else:
+            self.dial_turns.change(budget.dial_gap_us)
+
+    def may_dial(self, upstream: int) -> bool:
+        """Whether a further connection fits into this instance's part."""
+        each = self.budget.connections_each
+        if each and len(self.connections.get(upstream, ())) + self.coming[upstream] >= each:
+            return False
+        if self.budget.connections and self.count + self.coming.total() >= self.most and not self.idle:
+            return False
+        return self.dial_turns is None or self.dial_turns.may(clock_us())
+
+    def shut(self, new: bool) -> Container[int]:
+        limited = self.budget.connections or self.dial_turns is not None
+        return Shut(self, new) if limited else frozenset()
+
+    def next_dial_us(self) -> int:
+        return self.dial_turns.next_us if self.dial_turns is not None else 0
+
     async def dial(self, upstream: int, address: Address, attempt: Attempt) -> None:
+        self.coming[upstream] -= 1
+        if not self.coming[upstream]:
+            del self.coming[upstream]
         if attempt.given_up:  # hazard: before this task's first step; it would be sent after the answer
             return
         connection: Connection | None = None
@@ -379,7 +443,7 @@
 
     def make_room(self) -> None:
         """Hazard: silent upstreams, a connection for each attempt, would use up the descriptors."""
-        if sum(map(len, self.connections.values())) < self.most:
+        if self.count < self.most:
             return
         idle = [connection for group in self.idle.values() for connection in group]
         if not idle:
@@ -401,6 +465,9 @@
         self.breaks[age] += (float(broke) - self.breaks[age]) / BREAKS_MEMORY
 
     def put_idle(self, connection: Connection) -> None:
+        if self.count > self.most or not self.budget.keep_idle:
+            connection.close()
+            return
         connection.idle_since_us = clock_us()
         self.idle.setdefault(connection.upstream, []).append(connection)
 
@@ -415,7 +482,9 @@
     def remove(self, connection: Connection) -> None:
         self.take(connection)
         group = self.connections.get(connection.upstream, set())
-        group.discard(connection)
+        if connection in group:
+            group.remove(connection)
+            self.count -= 1
         if not group:
             self.connections.pop(connection.upstream, None)
 
--- a/tests/config/test_docs.py
+++ b/tests/config/test_docs.py
@@ -18,6 +18,8 @@
     "[pools.NAME]": operator.PoolTable,
     "[[routes]]": operator.RouteTableRow,
     "[daemon]": operator.DaemonTable,
+    "[fleet]": operator.FleetTable,
+    "[pools.NAME.share]": operator.ShareTable,
 }
 
 
