--- a/plovertrail/decisions/share.py
+++ b/plovertrail/decisions/share.py
@@ -21,6 +21,7 @@
 CERTAINTY = 3.0  # standard deviations beyond the highest of so many counts: one chance in a thousand, about
 WIDEN_GAP_US = 250_000  # between two widenings: what the last one brought must show first
 CALM_US = 10_000_000  # without a request that found no slot, before a subset narrows again
+DIAL_BURST = 4  # an instance with little traffic dials for most requests, and these come in bunches
 MOST_EACH = 64  # connections of one instance to one server
 Address = tuple[str, int]
 
@@ -48,7 +49,7 @@
 
     connections: int = 0  # in all
     connections_each: int = 0  # to one server
-    keep_idle: bool = True  # False: more instances than connections, so none is kept between requests
+    keep_idle: bool = True  # False: none is kept between requests
     dial_gap_us: int = 0  # between two dials, to whichever servers
 
 
@@ -61,8 +62,16 @@
     return ((math.sqrt(spread * spread + 4.0 * bound) - spread) / 2.0) ** 2
 
 
+def uniform(number: int, name: str) -> float:
+    """A number between 0 and 1 that an instance always draws for a name."""
+    digest = hashlib.blake2b(f"{number} {name}".encode(), digest_size=8).digest()
+    return (int.from_bytes(digest) + 0.5) / 2.0 ** 64
+
+
 def budget(fleet: Fleet, bounds: Bounds, servers: int) -> Budget:
-    """The part of what `servers` servers bear that falls to one instance."""
+    """The part of what `servers` servers bear that falls to one instance. Where that is two connections and a
+    half, one half of the instances has two and the other three; where it is less than one, the others keep
+    none, and have one only while a request is on it."""
     if servers <= 0:
         return Budget()
     connections, each, keep = 0, 0, True
@@ -72,7 +81,8 @@
             mine = usable_mean(bounds.connections, servers, each) * servers / fleet.size
             if mine < wanted * (each + 1):
                 break
-        connections, keep = max(1, int(mine)), mine >= 1.0
+        whole = int(mine + uniform(fleet.number, "connections"))
+        connections, keep = max(1, whole), whole >= 1
     gap_us = 0
     if bounds.dials_per_s:
         gap_us = int(1e6 * fleet.size / (usable_mean(bounds.dials_per_s, servers) * servers))
@@ -86,27 +96,35 @@
     if fleet.size <= usable_mean(bounds.connections, servers) * servers:
         return ""
     return (f"{fleet.size} instances on {servers} servers that bear {bounds.connections} connections each: "
-            "not even one for each instance, so none is kept between requests")
+            "not one for each instance, so some keep none between requests, and dial for each")
 
 
 class Dials:
-    """Spaces an instance's dials (the virtual scheduling of ITU-T I.371, with no burst). The first one comes
-    after a random part of the gap: a fleet that starts at one moment is spread over it."""
+    """An instance's turns to dial: one each gap in the long run, DIAL_BURST in a row after a pause (the
+    virtual scheduling of ITU-T I.371). The first one comes after a random part of the gap, and no burst
+    before: a fleet that starts at one moment is spread over it."""
 
-    def __init__(self, gap_us: int, now_us: int, uniform: float) -> None:
+    def __init__(self, gap_us: int, now_us: int, part: float) -> None:
         self.gap_us = gap_us
-        self.next_us = now_us + int(gap_us * uniform)
+        self.spent_us = now_us + int(gap_us * part) + gap_us * (DIAL_BURST - 1)  # when all turns are back
+
+    @property
+    def next_us(self) -> int:
+        """When the next turn comes, or came."""
+        return self.spent_us - self.gap_us * (DIAL_BURST - 1)
 
     def may(self, now_us: int) -> bool:
         return now_us >= self.next_us
 
     def took(self, now_us: int) -> None:
-        self.next_us = max(self.next_us, now_us) + self.gap_us
+        self.spent_us = max(self.spent_us, now_us) + self.gap_us
 
-    def change(self, gap_us: int) -> None:
-        """The fleet or the list has another size. Hazard: a long gap that has begun would outlast it."""
-        self.next_us += min(0, gap_us - self.gap_us)
+    def change(self, gap_us: int, now_us: int) -> None:
+        """The fleet or the list has another size: what is owed is owed in the new gaps. Hazard: long ones
+        that have begun would outlast it."""
+        owed = max(0, self.spent_us - now_us) / self.gap_us
         self.gap_us = gap_us
+        self.spent_us = now_us + int(owed * gap_us)
 
 
 def group_of(classes: Iterable[RequestClass]) -> str:
@@ -246,9 +264,7 @@
         """By weight: the chance to come first is in proportion to it."""
         unit.weight = sum(entry.weight for entry in unit.servers.values())
         away = self.home is not None and all(entry.zone != self.home for entry in unit.servers.values())
-        digest = hashlib.blake2b(f"{self.number} {name}".encode(), digest_size=8).digest()
-        uniform = (int.from_bytes(digest) + 0.5) / 2.0 ** 64
-        unit.rank = away, -math.log(uniform) / unit.weight, name
+        unit.rank = away, -math.log(uniform(self.number, name)) / unit.weight, name
         insort(self.ranked, (unit.rank, name))
 
     def _unrank(self, unit: _Unit, name: str) -> None:
--- a/plovertrail/upstreams/connections.py
+++ b/plovertrail/upstreams/connections.py
@@ -383,17 +383,17 @@
         if not attempt.given_up:
             attempt.end(Result(Outcome.NOT_SENT))
 
-    def limit(self, budget: Budget, uniform: float) -> None:
-        """Keep to this instance's part from now on; `uniform` is a random number from 0 to 1. What is open
-        beyond it closes as it becomes idle."""
+    def limit(self, budget: Budget, turn: float) -> None:
+        """Keep to this instance's part from now on; its first dial comes after `turn`, a random number from 0
+        to 1, of the time between two. What is open beyond its part closes as it becomes idle."""
         self.budget = budget
         self.most = min(self.configured, budget.connections or self.configured)
         if not budget.dial_gap_us:
             self.dial_turns = None
         elif self.dial_turns is None:
-            self.dial_turns = Dials(budget.dial_gap_us, clock_us(), uniform)
+            self.dial_turns = Dials(budget.dial_gap_us, clock_us(), turn)
         else:
-            self.dial_turns.change(budget.dial_gap_us)
+            self.dial_turns.change(budget.dial_gap_us, clock_us())
 
     def may_dial(self, upstream: int) -> bool:
         """Whether a further connection fits into this instance's part."""
--- /dev/null
+++ b/standins/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Thousands of instances in a few processes, and the servers and the discovery that they meet."""
--- /dev/null
+++ b/standins/fleet/instances.py
@@ -0,0 +1,125 @@
+"""Some of a fleet's instances in one process: each has a host, a decision module, a watch and connections."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import sys
+import time
+from collections import Counter
+from functools import partial
+from typing import Any
+
+from plovertrail.clock import clock_us
+from plovertrail.decisions import interface as api
+from plovertrail.decisions import share
+from plovertrail.exchange import Answer, Call, Verdict
+from plovertrail.host import Host
+from plovertrail.sources.discovery import Directory, Discovery
+from plovertrail.upstreams.connections import ConnectionPool
+from standins.fleet.plan import Plan
+
+AIM_US, DEADLINE_US = 400_000, 1_200_000
+MOST_CONNECTIONS = 64
+
+
+class Instance:
+    """One instance, as the platform's program builds it, with a part of its servers."""
+
+    def __init__(self, plan: Plan, number: int, discovery_port: int, known: Any) -> None:
+        self.fleet = share.Fleet(plan.told_size or plan.instances, number)
+        self.bounds = share.Bounds(plan.servers_each, plan.connections, plan.dials_per_s)
+        self.rng = random.Random(number)
+        settings = api.Settings(
+            classes=[api.RequestClass("read", AIM_US, DEADLINE_US, effect="at_most_once", late_worth=0.3)],
+            instances=self.fleet.size,
+            self_index=number,
+            max_attempts=4,
+            max_retry_after_us=10_000_000,
+            connect_timeout_us=500_000,
+            cancel=True,
+            list_on_request=True,
+            ask_within_us=60_000_000,
+            list_calls_per_s=plan.list_calls_per_s,
+            cold_share=plan.cold_share,
+            warm_up_us=int(plan.warm_up_s * 1e6),
+            overload_factor=plan.overload_factor,
+            fall_us=int(plan.fall_s * 1e6),
+        )
+        self.host = Host()
+        self.connections = ConnectionPool(int(plan.idle_s * 1e6), 500_000, MOST_CONNECTIONS)
+        self.pool = self.host.add_pool("", settings, number, self.connections)
+        if plan.servers_each:
+            self.host.use_subset(self.pool, share.Subset(number, plan.servers_each))
+        self.discovery = Discovery(("127.0.0.1", discovery_port), Directory(["a"], ["m"]), self.listed)
+        self.host.subscribe = self.discovery.subscribe
+        self.discovery.cached(known)
+        self.host.start(self.pool)
+
+    def listed(self, event: api.UpstreamsUpdated, addresses: dict[int, tuple[str, int]]) -> None:
+        self.host.list_changed(self.pool, event, addresses)
+        budget = share.budget(self.fleet, self.bounds, len(self.pool.listed))
+        if budget != self.connections.budget:
+            self.connections.limit(budget, self.rng.random())
+
+
+class Load:
+    """Requests to instances drawn at random, and how they were answered, by second."""
+
+    def __init__(self, plan: Plan, instances: list[Instance]) -> None:
+        self.plan = plan
+        self.instances = instances
+        self.rng = random.Random(instances[0].fleet.number)
+        self.gap_s = plan.instances / (plan.requests_per_s * len(instances))
+        self.counts: dict[str, Counter[int]] = {name: Counter() for name in ("asked", "twice", "late")}
+        self.counts |= {verdict.value: Counter() for verdict in Verdict}
+        self.taken: list[float] = []
+
+    async def play(self) -> None:
+        at = self.plan.starts_at
+        while at < self.plan.starts_at + self.plan.seconds:
+            at += self.rng.expovariate(1 / self.gap_s)
+            await asyncio.sleep(max(0.0, at - time.monotonic()))
+            self.ask(self.rng.choice(self.instances))
+
+    def ask(self, instance: Instance) -> None:
+        began = time.monotonic()
+        second = int(began - self.plan.starts_at)
+        self.counts["asked"][second] += 1
+        answers = []
+
+        def reply(answer: Answer) -> None:
+            answers.append(answer)
+            took = time.monotonic() - began
+            self.counts["twice"][second] += len(answers) > 1
+            self.counts["late"][second] += took > DEADLINE_US / 1e6
+            self.counts[answer.verdict.value][second] += 1
+            if answer.verdict is Verdict.SERVED:
+                self.taken.append(took)
+
+        call = Call(b"POST", b"/read/1", [], b"{}", clock_us(), DEADLINE_US, 0)
+        instance.host.arrived(call, reply, (instance.pool,))
+
+    def told(self) -> dict[str, Any]:
+        seconds = range(int(self.plan.seconds))
+        found = {name: [count[second] for second in seconds] for name, count in self.counts.items()}
+        step = max(1, len(self.taken) // 200)
+        return found | {"taken": [round(took, 4) for took in sorted(self.taken)[::step]]}
+
+
+async def main(plan: Plan, first: int, count: int, discovery_port: int, known: Any) -> None:
+    """Build the instances, play, and print what was counted."""
+    instances = [Instance(plan, first + n, discovery_port, known) for n in range(count)]
+    load = Load(plan, instances)
+    ready = plan.starts_at - time.monotonic()
+    await asyncio.sleep(max(0.0, ready))
+    await load.play()
+    await asyncio.sleep(DEADLINE_US / 1e6 + 0.1)
+    told = load.told()
+    print(json.dumps(told | {"ready_s": round(ready, 2)}), flush=True)
+
+
+if __name__ == "__main__":
+    arguments = json.loads(sys.argv[2])
+    asyncio.run(partial(main, Plan.load(sys.argv[1]), **arguments)())
