--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -130,7 +130,6 @@
 
     def retire(self, host: Host) -> None:
         host.retire(self.pool)
-        self.connections.ended = True
 
 
 class Daemon:
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -10,6 +10,7 @@
 from collections import deque
 
 from plovertrail.decisions import interface as api
+from plovertrail.decisions.share import list_turn_us
 from plovertrail.decisions.weighted import WeightedDraw
 
 MOST_SLOTS = 8  # no upstream gets more from one sidecar, however quick its answers
@@ -681,7 +682,7 @@
         the fleet, or of discovery. Hazard: what discovery can't bear it ends, and all ask again."""
         if self.settings.list_calls_per_s <= 0.0:
             return 0
-        return int(1e6 * self.random.random() * self.settings.instances / self.settings.list_calls_per_s)
+        return list_turn_us(self.settings.instances, self.settings.list_calls_per_s, self.random.random())
 
     def ask_list_at(self, at_us: int) -> None:
         if self.settings.list_on_request:
--- a/plovertrail/decisions/share.py
+++ b/plovertrail/decisions/share.py
@@ -89,6 +89,11 @@
     return Budget(connections, each, keep, gap_us)
 
 
+def list_turn_us(instances: int, calls_per_s: float, part: float) -> int:
+    """This instance's turn to ask for the list, when all do; `part` is a random number from 0 to 1."""
+    return int(1e6 * part * instances / usable_mean(calls_per_s, 1))
+
+
 def overdrawn(fleet: Fleet, bounds: Bounds, servers: int) -> str:
     """What a server can't bear however careful each instance is; empty if there is nothing."""
     if not bounds.connections or servers <= 0:
--- a/plovertrail/upstreams/connections.py
+++ b/plovertrail/upstreams/connections.py
@@ -22,6 +22,7 @@
 FRAMING = 4  # an answer with its head, what comes ahead of it, and its framing holds so many bodies at most
 IDLE_MARGIN_US = 300_000  # an upstream may close a connection while a request is on its way to it
 BREAKS_MEMORY = 16  # uses of connections that were idle for about as long
+SWEEP_S = 0.1  # the shortest time between two looks for idle connections to close
 MOST_BREAKS = 0.15  # share of them that may break: a request lost costs about ten new connections
 BREAKS_FADE = 0.99  # for each one passed over, so that they are tried again
 BODYLESS = (b"GET", b"HEAD", b"OPTIONS", b"DELETE")  # no length is told where there is no body
@@ -340,11 +341,10 @@
         self.budget = Budget()  # this instance's part of what an upstream bears from all
         self.dial_turns: Dials | None = None
         self.rules = rules or AnswerRules()
-        self.ended = False  # nothing new comes; what is open finishes
         self.connections: dict[int, set[Connection]] = {}  # all there are, also those coming up
         self.idle: dict[int, list[Connection]] = {}
         self.dials: set[asyncio.Task[None]] = set()
-        self.sweeper = self.loop.call_later(1.0, self.sweep)
+        self.sweeper: asyncio.TimerHandle | None = None  # set while there are idle connections
 
     def start(self, upstream: int, address: Address, call: Call, timeout_us: int,
               ended: Callable[[Result], None]) -> Attempt:
@@ -470,6 +470,8 @@
             return
         connection.idle_since_us = clock_us()
         self.idle.setdefault(connection.upstream, []).append(connection)
+        if self.sweeper is None:
+            self.sweeper = self.loop.call_later(max(SWEEP_S, self.keep_us / 1e6), self.sweep)
 
     def take(self, connection: Connection) -> None:
         """It is idle no longer."""
@@ -499,10 +501,11 @@
 
     def sweep(self) -> None:
         """Close what upstreams are about to close."""
-        if self.ended and not self.connections:
-            return
-        self.sweeper = self.loop.call_later(0.1, self.sweep)
+        self.sweeper = None
         oldest_us = clock_us() - self.keep_us
         for connections in list(self.idle.values()):
             for connection in [c for c in connections if c.idle_since_us <= oldest_us]:
                 connection.close()
+        if self.idle:
+            next_us = min(connections[0].idle_since_us for connections in self.idle.values()) - oldest_us
+            self.sweeper = self.loop.call_later(max(SWEEP_S, next_us / 1e6), self.sweep)
--- a/standins/fleet/instances.py
+++ b/standins/fleet/instances.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import random
 import sys
@@ -112,10 +113,14 @@
     """Build the instances, play, and print what was counted."""
     instances = [Instance(plan, first + n, discovery_port, known) for n in range(count)]
     load = Load(plan, instances)
+    gc.collect()
+    gc.freeze()  # hazard: a full collection goes through all instances, and stops them all meanwhile
     ready = plan.starts_at - time.monotonic()
     await asyncio.sleep(max(0.0, ready))
     await load.play()
     await asyncio.sleep(DEADLINE_US / 1e6 + 0.1)
+    for instance in instances:
+        instance.discovery.stop()
     told = load.told()
     print(json.dumps(told | {"ready_s": round(ready, 2)}), flush=True)
 
--- a/tests/benchmarks/test_short_forms.py
+++ b/tests/benchmarks/test_short_forms.py
@@ -18,6 +18,12 @@
     ("name", "short", "figure"),
     [
         ("routes", ("--seconds", "0.5"), "prefixes"),
+        (
+            "fleet",
+            ("--instances", "200", "--base", "100", "--seconds", "6", "--rate", "150", "--processes", "2")
+            + ("--connections", "48"),
+            "200, connections_mean",
+        ),
         ("websocket_cost", ("--messages", "1800", "--sockets", "100"), "idle_bytes"),
     ],
 )
--- /dev/null
+++ b/tests/upstreams/test_connections.py
@@ -0,0 +1,84 @@
+"""The connections of a pool: this instance's part of them, and when they close."""
+
+from __future__ import annotations
+
+import asyncio
+
+from plovertrail.clock import clock_us
+from plovertrail.decisions.interface import Outcome
+from plovertrail.decisions.share import Budget
+from plovertrail.exchange import Call, Result
+from plovertrail.upstreams.connections import IDLE_MARGIN_US, ConnectionPool
+from standins.web import WebServer, slowly
+from tests.daemons import run
+from tests.net import until
+
+
+def get() -> Call:
+    return Call(b"GET", b"/", [], b"", clock_us(), 1_000_000, 0)
+
+
+def test_a_limit_that_falls_closes_what_is_beyond_it_as_it_becomes_idle() -> None:
+    async def test() -> None:
+        server = WebServer(slowly(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0.02))
+        await server.start()
+        pool = ConnectionPool(10_000_000, 1_000_000, 10)
+        ends: list[Result] = []
+        for _ in range(4):
+            pool.start(1, ("127.0.0.1", server.port), get(), 1_000_000, ends.append)
+        await until(lambda: pool.count == 4)
+        pool.limit(Budget(connections=2, connections_each=2), 0.5)
+        await until(lambda: len(ends) == 4)
+        assert pool.count == 2
+        assert not pool.may_dial(1) and pool.may_dial(2)
+        assert 1 not in pool.shut(False) and 1 in pool.shut(True) and 2 not in pool.shut(False)
+        server.stop()
+
+    run(test)
+
+
+def test_dials_that_have_not_begun_count_and_one_too_many_is_not_sent() -> None:
+    async def test() -> None:
+        server = WebServer()
+        await server.start()
+        pool = ConnectionPool(10_000_000, 1_000_000, 10)
+        pool.limit(Budget(connections=3, connections_each=2), 0.5)
+        ends: list[Result] = []
+        for _ in range(5):  # in one turn of the loop
+            pool.start(1, ("127.0.0.1", server.port), get(), 1_000_000, ends.append)
+        await until(lambda: len(ends) == 5)
+        assert [end.outcome for end in ends].count(Outcome.NOT_SENT) == 3 and server.count == 2
+        assert server.connections == 2 and pool.count == 2 and not pool.coming
+        server.stop()
+
+    run(test)
+
+
+def test_an_attempt_given_up_before_it_could_be_told_of_the_limit_ends_once() -> None:
+    async def test() -> None:
+        pool = ConnectionPool(10_000_000, 1_000_000, 10)
+        pool.limit(Budget(dial_gap_us=3_600_000_000), 0.9)
+        ends: list[Result] = []
+        pool.start(1, ("127.0.0.1", 1), get(), 1_000_000, ends.append).give_up()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert ends == [] and pool.count == 0
+
+    run(test)
+
+
+def test_idle_connections_close_ahead_of_the_server_and_leave_no_timer() -> None:
+    async def test() -> None:
+        server = WebServer()
+        await server.start()
+        pool = ConnectionPool(IDLE_MARGIN_US + 50_000, 1_000_000, 10)
+        assert pool.sweeper is None, "an instance without connections has nothing to look at"
+        ends: list[Result] = []
+        for _ in range(3):
+            pool.start(1, ("127.0.0.1", server.port), get(), 1_000_000, ends.append)
+        await until(lambda: len(ends) == 3)
+        assert pool.count == 3 and pool.sweeper is not None
+        await until(lambda: pool.count == 0 and pool.sweeper is None)
+        server.stop()
+
+    run(test)
