--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -26,11 +26,16 @@
 
 @contextmanager
 def child(
-    *arguments: str, cpu: int, log: int | None = subprocess.DEVNULL, **environment: str
+    *arguments: str,
+    cpu: int,
+    log: int | None = subprocess.DEVNULL,
+    stdin: bool = False,
+    **environment: str,
 ) -> Iterator[subprocess.Popen[bytes]]:
     """A Python program on a core; ended with SIGTERM. `log` is where its standard error goes."""
     process = subprocess.Popen(
         [sys.executable, *arguments],
+        stdin=subprocess.PIPE if stdin else None,
         stdout=subprocess.PIPE,
         stderr=log,
         env=os.environ | environment,
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -7,6 +7,7 @@
 import heapq
 import math
 import random
+from array import array
 from collections import deque
 
 from plovertrail.decisions import interface as api
@@ -93,10 +94,11 @@
         self.out: list[Attempt] = []  # its attempts that have not ended, in the order of their sends
         # by class, as an upstream may be well for all but some: the share of attempts that had no answer in
         # time, smoothed; how many of late in a row; and till when the class rests there
-        self.silence = [0.0] * classes
-        self.mute = [0] * classes
-        self.mute_until_us = [0] * classes
-        self.muted = [False] * classes  # as counted
+        # hazard: lists of all these, for 10,000 upstreams, would have the collector stop all for 50 ms
+        self.silence = array("d", [0.0] * classes)
+        self.mute = array("b", [0] * classes)
+        self.mute_until_us = array("q", [0] * classes)
+        self.muted = array("b", [0] * classes)  # as counted
         self.window = 1.0  # slots open while it is well; below 1 the one slot rests between sends
         self.rest_until_us = 0
         self.next_cold = 0.0  # while it is cold, it waits till this sidecar has seen so many served
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Callable, Container, Sequence
 from dataclasses import dataclass, field, replace
+from itertools import islice
 
 from plovertrail.clock import clock_us
 from plovertrail.decisions import interface as api
@@ -53,7 +54,9 @@
         self.serving: set[int] = set()  # the servers that new requests may go to
         self.subset: Subset | None = None  # None: this instance uses all servers
         self.listed: dict[int, Address] = {}  # also those that are not in the subset
-        self.untold: dict[int, api.Upstream] = {}  # of a long list, what the module has not been told yet
+        # of a long list, what the module has not been told yet: first what drains or has gone
+        self.untold_ends: dict[int, api.Upstream | None] = {}  # None: it isn't listed any more
+        self.untold: dict[int, api.Upstream] = {}
         self.telling: asyncio.Handle | None = None
         self.retired = False
         self.dial_timer: asyncio.TimerHandle | None = None
@@ -77,29 +80,36 @@
             else:
                 mine = self.subset.listed(event.upstreams, addresses)
             return replace(event, upstreams=mine, part=True)
-        if len(event.upstreams) > SLICE:  # in slices no part says who is missing
-            left = [api.Upstream(ident, api.UpstreamState.GONE) for ident in gone]
-            return replace(event, upstreams=[*left, *event.upstreams], part=True)
+        if len(event.upstreams) + len(gone) > SLICE:  # in slices no part says who is missing
+            for ident in gone:
+                self.untold.pop(ident, None)
+                self.untold_ends[ident] = None
+            return replace(event, part=True)
         if whole:
+            self.untold_ends.clear()
             self.untold.clear()
         return event
 
     def sliced(self, event: api.UpstreamsUpdated) -> api.UpstreamsUpdated:
-        """What is told at once: all of a short list; of a long one what drains or has gone. The rest waits,
-        and is overtaken by what a later list says."""
-        if not self.untold and len(event.upstreams) <= SLICE:
+        """What is told at once: all of a short list, a slice of a long one. The rest waits, what drains or
+        has gone first, and is overtaken by what a later list says."""
+        if not self.untold and not self.untold_ends and len(event.upstreams) <= SLICE:
             return event
-        now = []
         for entry in event.upstreams:
+            self.untold_ends.pop(entry.id, None)
             self.untold.pop(entry.id, None)
-            if entry.state is api.UpstreamState.READY:
+            ready = entry.state is api.UpstreamState.READY
+            if ready:
                 self.untold[entry.id] = entry
             else:
-                now.append(entry)
-        return replace(event, upstreams=now)
+                self.untold_ends[entry.id] = entry
+        return replace(event, upstreams=self.next_slice(), part=True)
 
     def next_slice(self) -> list[api.Upstream]:
-        return [self.untold.pop(ident) for ident in list(self.untold)[:SLICE]]
+        if self.untold_ends:
+            ends = {ident: self.untold_ends.pop(ident) for ident in list(islice(self.untold_ends, SLICE))}
+            return [entry or api.Upstream(ident, api.UpstreamState.GONE) for ident, entry in ends.items()]
+        return [self.untold.pop(ident) for ident in list(islice(self.untold, SLICE))]
 
     def follow(self, event: api.UpstreamsUpdated) -> None:
         """Keep what new requests may go to in step with what the module is told."""
@@ -175,6 +185,7 @@
         self.pools.remove(pool)
         pool.retired = True
         pool.subset = None
+        pool.untold_ends.clear()
         pool.untold.clear()
         self._tell_list(pool, api.UpstreamsUpdated(api.ListKind.FULL))
         for request in list(self.requests.values()):
@@ -226,7 +237,7 @@
     def _tell_rest(self, pool: ServerPool, kind: api.ListKind) -> None:
         """Hazard: to tell of 10,000 servers in one go would hold up all that is open for longer than some of
         it has left."""
-        if pool.untold and pool.telling is None:
+        if (pool.untold or pool.untold_ends) and pool.telling is None:
             pool.telling = self.loop.call_soon(self._tell_slice, pool, kind)
 
     def _tell_slice(self, pool: ServerPool, kind: api.ListKind) -> None:
--- a/plovertrail/sources/discovery.py
+++ b/plovertrail/sources/discovery.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import ipaddress
 import json
 import logging
 import math
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -21,7 +23,15 @@
 log = logging.getLogger(__name__)
 
 SILENCE_S = 4.5  # an empty line comes every 2 s
-LONGEST_LINE = 1024 * 1024
+LONGEST_LINE = 4 * 1024 * 1024  # about 25,000 servers
+SHORT_LINE = 64 * 1024  # hazard: a longer one, or a change among more servers, holds up the loop for too
+FEW_SERVERS = 500  # long; so these are read on a thread, which gives way every few milliseconds
+# hazard: the collector goes through all that is known of so many servers when a list comes, and stops all
+# threads for 50 ms; what there is before and after the first long one stays, by and large, and is taken out
+# of its sight
+SETTLE_S = 1.0
+MOST_UNREAD = 64  # lines that wait for this,
+MOST_UNREAD_BYTES = 2 * LONGEST_LINE  # and their bytes; then no more is taken from the watch
 STATES = {"active": UpstreamState.READY, "leaving": UpstreamState.DRAINING, "left": UpstreamState.GONE}
 Address = tuple[str, int]
 Listener = Callable[[UpstreamsUpdated, dict[int, Address]], None]
@@ -35,6 +45,12 @@
     return str(ipaddress.IPv4Address(host)), port
 
 
+def parse(line: bytes) -> Any:
+    """A list as discovery writes it. Hazard: read in one call, a long one would hold up all threads; so a
+    function of Python's own is called for each entry."""
+    return json.loads(line) if len(line) <= SHORT_LINE else json.loads(line, object_hook=lambda entry: entry)
+
+
 class Directory:
     """Turns discovery's lists into the module's events, through the reducer that all sources go through. No
     guard holds a list of the platform's back: its drains count from the moment that it tells them."""
@@ -45,6 +61,14 @@
         self.state = State()
         self.to_clock_us = clock_us() - time.time_ns() // 1000  # from Unix time, once for all
 
+    @property
+    def servers(self) -> int:
+        return len(self.state.members)
+
+    def read_line(self, line: bytes) -> tuple[UpstreamsUpdated, dict[int, Address]]:
+        """The event for one line of a watch."""
+        return self.read(parse(line))
+
     def read(self, lines: Any, kind: ListKind | None = None) -> tuple[UpstreamsUpdated, dict[int, Address]]:
         """The event for one list, with the addresses of its entries; raises on what is malformed, and then
         nothing of it has been taken."""
@@ -97,6 +121,7 @@
         self.discovery = discovery
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
+        self.address = discovery.address
         self.pending = b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -125,7 +150,7 @@
             raise ValueError("a line without end")
         for line in lines:
             if line.strip():
-                self.discovery.changed(json.loads(line))
+                self.discovery.line(self, line)
 
     def on_message_complete(self) -> None:
         self.fail()
@@ -153,6 +178,10 @@
         self.dial: asyncio.Task[None] | None = None
         self.heard_at = 0.0
         self.timer: asyncio.TimerHandle | None = None
+        self.unread: deque[tuple[Watch, bytes]] = deque()
+        self.reading: asyncio.Task[None] | None = None  # the one that reads them
+        self.unread_bytes = 0
+        self.settled = False
 
     def cached(self, lines: Any) -> None:
         """The list as the sidecar last had it."""
@@ -211,9 +240,42 @@
             log.warning("the watch is silent")
             self.watch.fail()
 
-    def changed(self, lines: Any) -> None:
-        event, addresses = self.directory.read(lines)
-        self.version = event.version
+    def line(self, watch: Watch, line: bytes) -> None:
+        """A list or a change has come; raises on what is malformed, if it is read at once."""
+        if self.reading is None and len(line) <= SHORT_LINE and self.directory.servers <= FEW_SERVERS:
+            self.changed(watch, *self.directory.read_line(line))
+            return
+        self.unread.append((watch, line))
+        self.unread_bytes += len(line)
+        if watch.transport is not None and (len(self.unread) >= MOST_UNREAD
+                                            or self.unread_bytes >= MOST_UNREAD_BYTES):
+            watch.transport.pause_reading()
+        if not self.settled:
+            self.settled = True
+            gc.freeze()
+            self.loop.call_later(SETTLE_S, gc.freeze)
+        if self.reading is None:
+            self.reading = self.loop.create_task(self.read_unread())
+
+    async def read_unread(self) -> None:
+        """In the order in which they came. Those of a watch that has ended count too: they have been told."""
+        while self.unread:
+            watch, line = self.unread.popleft()
+            self.unread_bytes -= len(line)
+            try:
+                self.changed(watch, *await asyncio.to_thread(self.directory.read_line, line))
+            except Exception as error:
+                log.warning("the watch can't be read: %r", error)
+                watch.fail()
+            self.heard()  # what was not taken meanwhile is no silence
+            if (watch.transport is not None and len(self.unread) < MOST_UNREAD // 2
+                    and self.unread_bytes < MOST_UNREAD_BYTES // 2):
+                watch.transport.resume_reading()
+        self.reading = None
+
+    def changed(self, watch: Watch, event: UpstreamsUpdated, addresses: dict[int, Address]) -> None:
+        if watch.address == self.address:  # hazard: the versions of another one mean nothing here
+            self.version = event.version
         self.listener(event, addresses)
 
     def ended(self, watch: Watch) -> None:
