--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -159,7 +159,8 @@
         self.requests: dict[int, Request] = {}
         self.buffer: Request | None = None
         self.mean_us = [c.aim_us / 4 for c in settings.classes]  # of each class's answers; at first a guess
-        self.pools = [Pool(now_us), Pool(now_us)]  # drawn from in this order; the second may stay empty
+        # drawn from in this order; a second one where crossing zones costs
+        self.pools = [Pool(now_us) for _ in range(2 if settings.cross_zone_fee > 0 else 1)]
         self.reissues = reissues or Reissues()
         self.short_us = 0  # when a request last found no free slot
         self.allowed_per_s = max(1.0, sum(t.allowance_per_s for t in settings.tenants))
@@ -564,10 +565,10 @@
         self.give_up_slot(attempt)
 
     def give_up_slot(self, attempt: Attempt) -> None:
-        """Frees the slot of an attempt that is lost: silent for too long, while its upstream answers what was
-        sent later. Hazard: each of the few that are never answered would hold a slot to its deadline, many
-        usual answer times, till all slots are held and all else is refused. The attempt itself stays out, as
-        its answer may still be of use. Nothing can overtake what holds the only slot: so each upstream may
+        """Frees the slot of a silent attempt that is lost: its upstream answers what was sent later. Hazard:
+        each of the few that are never answered would hold a slot to its deadline, many usual answer times,
+        till all slots are held and all else is refused. The attempt itself stays out, as its answer may still
+        be of use. Nothing can overtake what holds the only slot: so each upstream may
         have one lost on suspicion while others answer fast. A slow or silent one, or fleet, frees no more.
         It could do harm where an upstream serves by priority or shares out its time, and really has in work
         what was overtaken: it then gets up to twice the slots."""
@@ -575,7 +576,7 @@
         proven = attempt.overtaken >= OVERTAKEN
         lost = [other for other in server.out if other.lost]
         suspected = server.pool.load < FULL_LOAD and all(other.overtaken >= OVERTAKEN for other in lost)
-        if attempt.silent and (proven or suspected) and len(lost) < max(1, int(server.window)):
+        if (proven or suspected) and len(lost) < max(1, int(server.window)):
             attempt.lost = True
             server.used -= 1
             self.weigh(server)
@@ -623,7 +624,7 @@
             for other in earlier:
                 other.overtaken += 1
                 other.passed |= other.class_index == index
-                if not other.lost:
+                if other.silent and not other.lost:
                     self.give_up_slot(other)
         if event.outcome in (*ANSWERED, api.Outcome.TIMEOUT) and not lost:
             # time-outs count too: else a slow fleet would go on being judged by its few quick answers
--- a/plovertrail/fronts/ordinary.py
+++ b/plovertrail/fronts/ordinary.py
@@ -76,8 +76,6 @@
             if len(self.pending) > MOST_PENDING and self.transport is not None:
                 self.transport.pause_reading()
             return
-        if self.state is State.IDLE:
-            self.front.move(self, State.READING)
         self.size += len(data)
         self.reader.feed(data)
         self.proceed()
@@ -113,7 +111,7 @@
             self.taking = False
         if self.state in (State.OPEN, State.ENDING, State.SOCKET):
             return
-        if self.reader.partial and self.state is State.IDLE:
+        if (self.reader.partial or self.size) and self.state is State.IDLE:
             self.front.move(self, State.READING)
             self.size = max(self.size, 1)
         if self.reader.continue_wanted and self.transport is not None:
