A subset is ranked in slices; a watch that fails between two slices loses nothing

With a subset a whole list of 10,000 servers was ranked in one go, some 80 ms, and word of a failed watch between two slices took the next slice with it, which the module doesn't read then. Slices are cut first and narrowed after; no server is chosen before the whole list is known, and at most 250 join or go in one step.

--- a/plovertrail/decisions/share.py
+++ b/plovertrail/decisions/share.py
@@ -22,6 +22,7 @@
 WIDEN_GAP_US = 250_000  # between two widenings: what the last one brought must show first
 CALM_US = 10_000_000  # without a request that found no slot, before a subset narrows again
 DIAL_BURST = 4  # an instance with little traffic dials for most requests, and these come in bunches
+MOST_CHANGED = 250  # servers that join, or go, in one step: a module takes about 10 us for each
 MOST_EACH = 64  # connections of one instance to one server
 Address = tuple[str, int]
 
@@ -169,8 +170,10 @@
 
     # Lists in, the own list out
 
-    def listed(self, entries: Iterable[Upstream], addresses: Mapping[int, Address]) -> list[Upstream]:
-        """Changed entries; returns what changes in the own list. Those whose state is GONE leave."""
+    def listed(self, entries: Iterable[Upstream], addresses: Mapping[int, Address],
+               fill: bool = True) -> list[Upstream]:
+        """Changed entries; returns what changes in the own list. Those whose state is GONE leave. Without
+        `fill` nothing joins yet, as more of the same list follows."""
         told: list[Upstream] = []
         for entry in entries:
             self._take_out(entry.id)
@@ -182,7 +185,7 @@
                 else:
                     del self.chosen[entry.id]
                 told.append(entry)
-        return told + self._filled()
+        return told + self._filled() if fill else told
 
     def only(self, numbers: Set[int], entries: Iterable[Upstream],
              addresses: Mapping[int, Address]) -> list[Upstream]:
@@ -201,24 +204,26 @@
 
     def narrow(self, now_us: int, busy: Set[int]) -> list[Upstream]:
         """Now and then: after a calm the half of what was added goes, and what has been replaced; never while
-        requests of a unit are open, whose repeats may have nowhere else to go."""
+        requests of a unit are open, whose repeats may have nowhere else to go. What is wanted joins."""
         if self.width > self.size and now_us >= max(self.short_us, self.widened_us) + CALM_US:
             self.width = max(self.size, self.width // 2)
             self.widened_us = now_us
         wanted = self._wanted()
-        gone = []
+        gone: list[Upstream] = []
         for number in [number for number in self.chosen if self.names[number] not in wanted]:
+            if len(gone) >= MOST_CHANGED:
+                break
             if busy.isdisjoint(self.units[self.names[number]].servers):
                 gone.append(Upstream(number, UpstreamState.GONE))
         for entry in gone:
             del self.chosen[entry.id]
-        return gone
+        return gone + self._filled()
 
     # Ranks
 
-    def _wanted(self) -> set[str]:
-        """The units to use."""
-        names: set[str] = set()
+    def _wanted(self) -> dict[str, None]:
+        """The units to use, the best ranked first."""
+        names: dict[str, None] = {}
         ready = 0
         for _, name in self.ranked:
             if ready >= self.width:
@@ -226,13 +231,15 @@
             here = sum(1 for entry in self.units[name].servers.values() if entry.state is UpstreamState.READY)
             if here:
                 ready += here
-                names.add(name)
+                names[name] = None
         return names
 
     def _filled(self) -> list[Upstream]:
         """What is wanted and was not chosen joins."""
-        came = []
+        came: list[Upstream] = []
         for name in self._wanted():
+            if len(came) >= MOST_CHANGED:
+                break  # the next look goes on
             for number, entry in self.units[name].servers.items():
                 if number not in self.chosen and entry.state is UpstreamState.READY:
                     self.chosen[number] = entry
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -67,33 +67,23 @@
         if self.addresses.pop(ident, None) is not None:
             self.upstreams.forget(ident)
 
-    def narrowed(self, event: api.UpstreamsUpdated, addresses: dict[int, Address]) -> api.UpstreamsUpdated:
-        """What a list is to this instance; `addresses` has those of its entries."""
+    def sliced(self, event: api.UpstreamsUpdated, addresses: dict[int, Address]) -> api.UpstreamsUpdated:
+        """What is told at once: all of a short list, a slice of a long one. The rest waits, what drains or
+        has gone first, and is overtaken by what a later list says."""
         whole = event.kind in (api.ListKind.FULL, api.ListKind.CACHED) and not event.part
         gone = self.listed.keys() - addresses.keys() if whole else set()
         self.listed |= addresses
         for ident in gone | {e.id for e in event.upstreams if e.state is api.UpstreamState.GONE}:
             self.listed.pop(ident, None)
-        if self.subset is not None and event.kind is not api.ListKind.FAILED:
-            if whole:
-                mine = self.subset.only(addresses.keys(), event.upstreams, addresses)
-            else:
-                mine = self.subset.listed(event.upstreams, addresses)
-            return replace(event, upstreams=mine, part=True)
         if len(event.upstreams) + len(gone) > SLICE:  # in slices no part says who is missing
             for ident in gone:
                 self.untold.pop(ident, None)
                 self.untold_ends[ident] = None
-            return replace(event, part=True)
-        if whole:
+        elif whole:
             self.untold_ends.clear()
             self.untold.clear()
-        return event
-
-    def sliced(self, event: api.UpstreamsUpdated) -> api.UpstreamsUpdated:
-        """What is told at once: all of a short list, a slice of a long one. The rest waits, what drains or
-        has gone first, and is overtaken by what a later list says."""
-        if not self.untold and not self.untold_ends and len(event.upstreams) <= SLICE:
+            return event
+        elif not self.telling_rest:
             return event
         for entry in event.upstreams:
             self.untold_ends.pop(entry.id, None)
@@ -105,6 +95,21 @@
                 self.untold_ends[entry.id] = entry
         return replace(event, upstreams=self.next_slice(), part=True)
 
+    @property
+    def telling_rest(self) -> bool:
+        """Whether part of a long list has not been told yet."""
+        return bool(self.untold or self.untold_ends)
+
+    def narrowed(self, event: api.UpstreamsUpdated) -> api.UpstreamsUpdated:
+        """What a list, or a slice of it, is to this instance."""
+        if self.subset is None:
+            return event
+        if event.kind in (api.ListKind.FULL, api.ListKind.CACHED) and not event.part:
+            mine = self.subset.only({entry.id for entry in event.upstreams}, event.upstreams, self.listed)
+        else:
+            mine = self.subset.listed(event.upstreams, self.listed, fill=not self.telling_rest)
+        return replace(event, upstreams=mine, part=True)
+
     def next_slice(self) -> list[api.Upstream]:
         if self.untold_ends:
             ends = {ident: self.untold_ends.pop(ident) for ident in list(islice(self.untold_ends, SLICE))}
@@ -221,8 +226,11 @@
     def list_changed(self, pool: ServerPool, event: api.UpstreamsUpdated,
                      addresses: dict[int, Address]) -> None:
         """What is known of a pool's servers has changed."""
+        if event.kind is api.ListKind.FAILED:
+            self._tell(pool, event)
+            return
         self.servers_changed(pool, event)
-        self._tell_list(pool, pool.sliced(pool.narrowed(event, addresses)))
+        self._tell_list(pool, pool.narrowed(pool.sliced(event, addresses)))
         self._tell_rest(pool, event.kind)
 
     def use_subset(self, pool: ServerPool, subset: Subset) -> None:
@@ -237,21 +245,19 @@
     def _tell_rest(self, pool: ServerPool, kind: api.ListKind) -> None:
         """Hazard: to tell of 10,000 servers in one go would hold up all that is open for longer than some of
         it has left."""
-        if (pool.untold or pool.untold_ends) and pool.telling is None:
+        if pool.telling_rest and pool.telling is None:
             pool.telling = self.loop.call_soon(self._tell_slice, pool, kind)
 
     def _tell_slice(self, pool: ServerPool, kind: api.ListKind) -> None:
         pool.telling = None
         entries = pool.next_slice()
         if entries:
-            self._tell_list(pool, api.UpstreamsUpdated(kind, entries, part=True))
+            self._tell_list(pool, pool.narrowed(api.UpstreamsUpdated(kind, entries, part=True)))
             self._tell_rest(pool, kind)
 
     def _changed_subset(self, pool: ServerPool, entries: list[api.Upstream]) -> None:
         if entries:
-            event = api.UpstreamsUpdated(api.ListKind.DELTA, entries)
-            self._tell_list(pool, pool.sliced(event))
-            self._tell_rest(pool, api.ListKind.DELTA)
+            self._tell_list(pool, api.UpstreamsUpdated(api.ListKind.DELTA, entries))
 
     def _narrow(self, pool: ServerPool) -> None:
         if pool.retired or pool.subset is None:
--- a/tests/test_share.py
+++ b/tests/test_share.py
@@ -10,7 +10,7 @@
 from plovertrail.config.operator import load
 from plovertrail.config.problems import ConfigError
 from plovertrail.decisions import interface as api
-from plovertrail.decisions.share import DIAL_BURST
+from plovertrail.decisions.share import DIAL_BURST, Subset
 from plovertrail.host import SLICE, Host, ServerPool
 from plovertrail.upstreams.connections import ConnectionPool
 from standins.ports import free_port
@@ -312,6 +312,41 @@
     run(test)
 
 
+def test_a_watch_that_fails_between_two_slices_loses_nothing() -> None:
+    async def test() -> None:
+        told = Told()
+        told.tell(api.ListKind.FULL, [api.Upstream(number) for number in range(1, 1_001)])
+        told.tell(api.ListKind.FAILED, [])
+        await told.settle()
+        assert len(told.pool.balancer.servers) == 1_000 == len(told.pool.serving)
+        kinds = [event.kind for event in told.lists]
+        assert kinds == [api.ListKind.FULL, api.ListKind.FAILED] + [api.ListKind.FULL] * 3
+
+    run(test)
+
+
+def test_a_long_list_is_ranked_in_slices_and_none_is_chosen_before_all_are_known() -> None:
+    async def test() -> None:
+        told = Told()
+        told.host.use_subset(told.pool, Subset(5, 4))
+        entries = [api.Upstream(number) for number in range(1, 1_101)]
+        told.tell(api.ListKind.CACHED, entries)
+        assert not told.pool.serving
+        await told.settle()
+        whole = Subset(5, 4)
+        whole.listed(entries, where(entries))
+        assert told.pool.serving == whole.chosen.keys() == told.pool.balancer.servers.keys()
+        drained = min(whole.chosen)
+        told.tell(api.ListKind.DELTA, [api.Upstream(drained, api.UpstreamState.DRAINING)])
+        assert drained not in told.pool.serving and len(told.pool.serving) == 4
+        told.tell(api.ListKind.FULL, entries[:600])
+        await told.settle()
+        assert len(told.pool.serving) == 4 and max(told.pool.serving) <= 600
+        told.host.retire(told.pool)
+
+    run(test)
+
+
 def test_a_pool_that_retires_forgets_what_was_not_told_yet() -> None:
     async def test() -> None:
         told = Told()
