Random lists in slices of three end with the last word on each server

A test by hypothesis: whole lists, changes, failed watches, widening and turns of the loop in any order. It fails when what a whole list drops stays in the slices, and when word of a failed watch takes a slice with it.

--- /dev/null
+++ b/tests/test_slices.py
@@ -0,0 +1,77 @@
+"""Whatever lists come, and however they cross, what a pool serves ends up as the last word of each server."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest.mock import patch
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from plovertrail.decisions import interface as api
+from plovertrail.decisions.share import Subset
+from tests.daemons import run
+from tests.test_share import Told, where
+
+READY, DRAINING, GONE = api.UpstreamState.READY, api.UpstreamState.DRAINING, api.UpstreamState.GONE
+STATES = (READY, READY, DRAINING, GONE)
+SERVERS = 16
+STEP = st.tuples(
+    st.sampled_from(["change", "whole", "cached", "failed", "turn", "turn", "short"]),
+    st.lists(st.tuples(st.integers(1, SERVERS), st.integers(0, 3), st.integers(1, 3)), max_size=12),
+)
+
+
+def play(steps: list[tuple[str, list[tuple[int, int, int]]]], subset: bool) -> None:
+    """Tell lists in slices of three, with turns of the loop between them or without."""
+
+    async def test() -> None:
+        told = Told()
+        truth: dict[int, api.Upstream] = {}
+        if subset:
+            told.host.use_subset(told.pool, Subset(1, 4))
+        for what, rows in steps:
+            entries = {
+                number: api.Upstream(number, STATES[state], weight=float(weight))
+                for number, state, weight in rows
+            }
+            if what == "change":
+                told.tell(api.ListKind.DELTA, list(entries.values()))
+                truth |= entries
+            elif what in ("whole", "cached"):
+                listed = {n: e for n, e in entries.items() if e.state is not GONE}
+                kind = api.ListKind.FULL if what == "whole" else api.ListKind.CACHED
+                told.tell(kind, list(listed.values()))
+                truth = listed
+            elif what == "failed":
+                told.tell(api.ListKind.FAILED, [])
+            elif what == "short" and told.pool.subset is not None:
+                told.host._changed_subset(told.pool, told.pool.subset.short(told.pool.balancer.now_us))
+            else:
+                await asyncio.sleep(0)
+            if what in ("change", "whole", "cached") and len(rows) <= 3:
+                # no word of an end waits behind what is new
+                ends = {n for n, e in truth.items() if e.state is not READY}
+                assert told.pool.untold_ends or told.pool.serving.isdisjoint(ends)
+        await told.settle()
+        ready = {n: e for n, e in truth.items() if e.state is READY}
+        servers = told.pool.balancer.servers
+        assert servers.keys() == told.pool.serving == told.pool.addresses.keys()
+        if subset:
+            assert servers.keys() <= ready.keys() and len(servers) >= min(4, len(ready))
+        else:
+            assert servers.keys() == ready.keys()
+        assert all(servers[number].entry.weight == ready[number].weight for number in servers)
+        assert told.pool.listed == where([e for e in truth.values() if e.state is not GONE])
+        told.host.retire(told.pool)
+
+    with patch("plovertrail.host.SLICE", 3):
+        run(test)
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(STEP, max_size=12), st.booleans())
+def test_the_last_word_on_each_server_is_in_force_once_all_is_told(
+    steps: list[tuple[str, list[tuple[int, int, int]]]], subset: bool
+) -> None:
+    play(steps, subset)
