--- a/plovertrail/decisions/share.py
+++ b/plovertrail/decisions/share.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 from bisect import bisect_left, insort
 from collections.abc import Iterable, Mapping, Set
@@ -65,6 +64,8 @@
 
 def uniform(number: int, name: str) -> float:
     """A number between 0 and 1 that an instance always draws for a name."""
+    import hashlib  # late: the platform's program, which has no share, would load it at each start
+
     digest = hashlib.blake2b(f"{number} {name}".encode(), digest_size=8).digest()
     return (int.from_bytes(digest) + 0.5) / 2.0 ** 64
 
