--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -4,13 +4,14 @@
 drawn time; its timers fire when they are due. Calm: 60 a second, answered in 40 ms. Busy: 2,000 a second, so
 that it has a use for many servers at once. Short: every server is resting or full, so that most are refused.
 In turns with the module as it was when each request went through all servers (reference_balance.py), in one
-run; microseconds within the module, for a request with all its events, the median of the rounds. Bars: 10,000
-servers at most 1.5 times 15; 15 at most half of the reference's.
+run, round by round; microseconds within the module, for a request with all its events, the median. Bars:
+10,000 servers at most 1.5 times 15; 15 at most half of the reference's.
 """
 
 from __future__ import annotations
 
 import argparse
+import gc
 import heapq
 import random
 import statistics
@@ -25,11 +26,12 @@
 from plovertrail.decisions import interface as api
 
 SIZES = (15, 150, 1_500, 10_000)
-ROUNDS = 3
+ROUNDS = 40  # short plays in turn meet the machine in the same state
 # arrivals a second, and the mean time of an answer; in a shortage, arrivals a second for each server
 LOADS = {"calm": (60.0, 40_000.0), "busy": (2_000.0, 40_000.0), "short": (20.0, 800_000.0)}
 WARM_UP_REQUESTS = 300
-SLOWEST_RUN_US = 3e6  # what a round of the reference may take on a long list
+SLOWEST_RUN_US = 3e6  # what the beginning of the reference may take on a long list
+LONGEST_PLAY_US = 5e4
 
 
 class Module(Protocol):
@@ -95,29 +97,43 @@
         return (self.spent_ns - before_ns) / requests / 1e3
 
 
+def prepared(load: str) -> dict[tuple[str, int, str], tuple[Run, float]]:
+    """Runs past their beginnings, with what a request took there, in microseconds."""
+    runs: dict[tuple[str, int, str], tuple[Run, float]] = {}
+    for size in SIZES:
+        # a shortage begins when all servers have something to do
+        warm_up = 3 * size if load == "short" else WARM_UP_REQUESTS
+        for name, make in MODULES.items():
+            run = Run(make, size, load, seed=1)
+            took = run.play(min(warm_up, WARM_UP_REQUESTS))
+            if name == "reference" and took * warm_up > 2 * SLOWEST_RUN_US:
+                continue  # it would take minutes; told as missing
+            if warm_up > WARM_UP_REQUESTS:
+                run.play(warm_up - WARM_UP_REQUESTS)
+            runs[load, size, name] = run, took
+    return runs
+
+
 def measure(requests: int) -> dict[tuple[str, int, str], float]:
-    """Microseconds a request by load, size and module."""
+    """Microseconds a request by load, size and module. All runs of a load take turns in each round, as a
+    machine's speed changes within minutes."""
     found: dict[tuple[str, int, str], list[float]] = {}
     for load in LOADS:
-        for size in SIZES:
-            # a shortage begins when all servers have something to do
-            warm_up = 3 * size if load == "short" else WARM_UP_REQUESTS
-            for name, make in MODULES.items():
-                run = Run(make, size, load, seed=1)
-                took = run.play(min(warm_up, WARM_UP_REQUESTS))
-                if name == "reference" and took * warm_up > 2 * SLOWEST_RUN_US:
-                    continue  # it would take minutes; told as missing
-                if warm_up > WARM_UP_REQUESTS:
-                    run.play(warm_up - WARM_UP_REQUESTS)
-                for _ in range(ROUNDS):
-                    count = max(20, min(requests, int(SLOWEST_RUN_US / took)))
-                    found.setdefault((load, size, name), []).append(run.play(count))
+        runs = prepared(load)
+        gc.collect()
+        gc.freeze()  # as the program does round a long list; hazard: each run would pay for the others' lists
+        for _ in range(ROUNDS):
+            for key, (run, took) in runs.items():
+                count = max(20, min(requests // ROUNDS, int(LONGEST_PLAY_US / took)))
+                found.setdefault(key, []).append(run.play(count))
+        del runs
+        gc.unfreeze()
     return {key: statistics.median(taken) for key, taken in found.items()}
 
 
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--requests", type=int, default=4_000, help="a round")
+    parser.add_argument("--requests", type=int, default=16_000, help="of each run, over all rounds")
     options = parser.parse_args()
     found = measure(options.requests)
     rows: list[list[object]] = []
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -17,9 +17,13 @@
 MOST_SLOTS = 8  # no upstream gets more from one sidecar, however quick its answers
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 INSTANT_FAULTS = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.ERROR, api.Outcome.RESET)
-ANSWERED = (api.Outcome.OK, api.Outcome.SPOILT)  # it has done the work, and its time tells of its load
+TIMED_OUT, TURNED_AWAY, SPOILT = api.Outcome.TIMEOUT, api.Outcome.FULL, api.Outcome.SPOILT
+ANSWERED = (api.Outcome.OK, SPOILT)  # it has done the work, and its time tells of its load
+# time-outs count too: else a slow fleet would go on being judged by its few quick answers
+TIMED = (*ANSWERED, TIMED_OUT)
+TELL_OF_LOAD = (*TIMED, TURNED_AWAY)
 # hazard: an upstream failing a part would lose them all
-REISSUED = (*INSTANT_FAULTS, api.Outcome.SPOILT, api.Outcome.TIMEOUT)
+REISSUED = (*INSTANT_FAULTS, SPOILT, TIMED_OUT)
 FAULT_MEMORY = 4  # attempts that make up an upstream's share of faults
 FAULT_SHARE = 0.35  # two faults in three attempts: more than what strikes all upstreams alike does by chance
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
@@ -125,11 +129,13 @@
 
 
 class Request:
-    __slots__ = ("event", "arrived_us", "attempts", "out", "done", "streaming")
+    __slots__ = ("event", "useful_until_us", "attempts", "out", "done", "streaming")
 
-    def __init__(self, event: api.RequestArrived, now_us: int) -> None:
+    def __init__(self, event: api.RequestArrived, kind: api.RequestClass, now_us: int) -> None:
         self.event = event
-        self.arrived_us = now_us
+        # when an answer stops being worth anything
+        late_us = now_us + (kind.deadline_us if kind.late_worth > 0 else kind.aim_us)
+        self.useful_until_us = late_us if late_us < event.due_us else event.due_us
         self.attempts: list[Attempt] = []
         self.out = 0  # attempts that have not ended
         self.done = self.streaming = False
@@ -202,7 +208,8 @@
     def on_arrival(self, event: api.RequestArrived) -> None:
         if event.request in self.requests:
             return
-        request = self.requests[event.request] = Request(event, self.now_us)
+        request = self.requests[event.request] = Request(
+            event, self.settings.classes[event.class_index], self.now_us)
         if event.tenant < len(self.tenant_seen):
             self.tenant_seen = [seen * (1.0 - 1.0 / TENANT_MEMORY) for seen in self.tenant_seen]
             self.tenant_seen[event.tenant] += 1.0
@@ -261,17 +268,11 @@
         """The delay threshold, and the time of a slow answer: the other half is left for a new try."""
         return self.settings.classes[class_index].aim_us // 2
 
-    def useful_until_us(self, request: Request) -> int:
-        """When an answer stops being worth anything."""
-        kind = self.class_of(request)
-        late = kind.deadline_us if kind.late_worth > 0 else kind.aim_us
-        return min(request.event.due_us, request.arrived_us + late)
-
     def latest_start_us(self, request: Request) -> int:
         """An attempt that starts later is not expected back in time to be of use. Hazard: after an outage
         that every answer outlasted, nothing would be tried again; so at most half the aim is left for it."""
         answer_us = min(self.mean_us[request.event.class_index], self.half_aim_us(request.event.class_index))
-        return self.useful_until_us(request) - int(answer_us)
+        return request.useful_until_us - int(answer_us)
 
     def fill_from_buffer(self) -> None:
         request = self.buffer
@@ -313,15 +314,15 @@
         slow_us = self.half_aim_us(class_index)
         # hazard: what spoils answers and breaks connections may do so on all upstreams alike, and one such
         # fault would shut each of them; only turning work away tells at once of the upstream itself
-        fault = outcome in INSTANT_FAULTS or outcome is api.Outcome.SPOILT
-        server.faults += (float(fault) - server.faults) / FAULT_MEMORY
-        faulty = outcome is api.Outcome.FULL or (fault and server.faults > FAULT_SHARE)
-        if fault and not faulty and outcome is not api.Outcome.SPOILT:
+        fault = outcome in INSTANT_FAULTS or outcome is SPOILT
+        server.faults += (fault - server.faults) / FAULT_MEMORY
+        faulty = outcome is TURNED_AWAY or (fault and server.faults > FAULT_SHARE)
+        if fault and not faulty and outcome is not SPOILT:
             return  # and its time tells nothing
         load = min(2.0, elapsed_us / slow_us) if outcome in ANSWERED else 2.0
         pace = SLOWEST_PACE if faulty else elapsed_us / self.mean_us[class_index]
         server.pace += (min(max(pace, 0.1), SLOWEST_PACE) - server.pace) / PACE_MEMORY
-        if outcome in (*ANSWERED, api.Outcome.TIMEOUT, api.Outcome.FULL):
+        if outcome in TELL_OF_LOAD:
             # hazard: a light sidecar never fills its slots; they hold nothing back when all are slow; draws
             # are thinned, at once as queues stay for seconds, but not for one slow answer among quick ones
             pool.load += (load - pool.load) / 8
@@ -361,8 +362,11 @@
     def warmth(self, server: Server) -> float:
         """Rule 4: the share of its capacity that an upstream surely has. Hazard: calling it warm any sooner
         lets in all sidecars at one moment, and together they push it over."""
-        s, age_us = self.settings, self.now_us - server.entry.started_us
-        if server.entry.started_us == 0 or age_us >= s.warm_up_us:
+        started_us = server.entry.started_us
+        if started_us == 0:
+            return 1.0
+        s, age_us = self.settings, self.now_us - started_us
+        if age_us >= s.warm_up_us:
             return 1.0
         return s.cold_share + (1.0 - s.cold_share) * max(0, age_us) / s.warm_up_us
 
@@ -406,7 +410,8 @@
         """One of a group, in proportion to its free slots: drawn by what holds for all requests, and taken
         with the part that is left of it for this one. Few draws miss; then all are gone through."""
         index, first = request.event.class_index, request.first_that_may_have_run()
-        tried, kind = [attempt.server for attempt in request.attempts], self.settings.classes[index]
+        tried = [attempt.server for attempt in request.attempts] if request.attempts else ()
+        kind = self.settings.classes[index]
         grouped = first is not None and kind.effect == "deduplicated" and kind.group != "all"
         for _ in range(0 if grouped else DRAWS):
             number = group.draw(self.random.random())
@@ -512,6 +517,8 @@
             return False
         if request.out > 0 and not self.settings.second_copies:
             return False
+        if not request.attempts:
+            return True
         first = request.first_that_may_have_run()
         kind = self.settings.classes[event.class_index]
         if first is None or kind.effect == "idempotent":
@@ -523,22 +530,26 @@
             self.pace_cold(server, 1.0)
         server.used += 1
         pool = server.pool
-        pool.credit = max(0.0, pool.credit - 1.0)
+        pool.credit = pool.credit - 1.0 if pool.credit > 1.0 else 0.0
         faded = math.exp((pool.rated_us - self.now_us) / RATE_MEMORY_US)
         pool.rate, pool.rated_us = pool.rate * faded + 1_000_000 / RATE_MEMORY_US, self.now_us
-        self.use(server, True)
+        if server.entry.id not in pool.in_use:
+            self.use(server, True)
         self.weigh(server)
         self.reissues.count(first=request.attempts_made() == 0)
         attempt = Attempt(server, request.event.class_index, self.now_us)
         request.attempts.append(attempt)
         request.out += 1
         server.out.append(attempt)
-        if not self.settings.classes[attempt.class_index].stream:
-            self.unheard[attempt.class_index].append(attempt)
-            self.wanted_us = min(self.wanted_us, self.now_us + self.silent_after_us(attempt.class_index))
+        index = attempt.class_index
+        if not self.settings.classes[index].stream:
+            self.unheard[index].append(attempt)
+            silent_us = self.now_us + self.silent_after_us(index)
+            if silent_us < self.wanted_us:
+                self.wanted_us = silent_us
         self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request)))
         if self.settings.second_copies and self.class_of(request).effect != "at_most_once":
-            index = request.event.class_index  # soon enough to be back in time, late enough to be seldom
+            # soon enough to be back in time, late enough to be seldom
             after_us = min(int(2 * self.mean_us[index]), self.half_aim_us(index))
             self.wake(self.now_us + after_us, "copy", request.event.request)
 
@@ -583,7 +594,7 @@
 
     def timeout_us(self, request: Request) -> int:
         """As long as an answer is of use; where a repeat may follow, what the class usually takes."""
-        left_us = max(1, self.useful_until_us(request) - self.now_us)
+        left_us = max(1, request.useful_until_us - self.now_us)
         once = self.class_of(request).effect == "at_most_once"
         if self.settings.second_copies or once or self.reissues.in_hand < 1.0:
             return left_us
@@ -607,11 +618,12 @@
         request.out -= 1
         server = attempt.server
         server.used -= int(not attempt.lost)
-        earlier = server.out[:server.out.index(attempt)]
-        server.out.remove(attempt)
+        place = server.out.index(attempt)
+        earlier = server.out[:place]
+        del server.out[place]
         # hazard: what others overtook tells nothing of the load; judged by it, an upstream that leaves some
         # unanswered would be cut to one slot, and its time would be that of no answer
-        lost = (attempt.lost or attempt.overtaken > 0) and event.outcome is api.Outcome.TIMEOUT
+        lost = (attempt.lost or attempt.overtaken > 0) and event.outcome is TIMED_OUT
         if not lost:
             self.judge(attempt, event.elapsed_us, request.event.class_index)
         self.weigh(server)
@@ -620,14 +632,14 @@
             index = attempt.class_index
             server.silence[index] -= server.silence[index] / SILENCE_MEMORY
             server.mute[index] = 0
-            self.mute(server, index, 0)
+            if server.mute_until_us[index]:
+                self.mute(server, index, 0)
             for other in earlier:
                 other.overtaken += 1
                 other.passed |= other.class_index == index
                 if other.silent and not other.lost:
                     self.give_up_slot(other)
-        if event.outcome in (*ANSWERED, api.Outcome.TIMEOUT) and not lost:
-            # time-outs count too: else a slow fleet would go on being judged by its few quick answers
+        if event.outcome in TIMED and not lost:
             index, mean_us = request.event.class_index, self.mean_us[request.event.class_index]
             elapsed_us = min(event.elapsed_us, 2 * self.half_aim_us(index))
             self.mean_us[index] = max(1.0, mean_us + (elapsed_us - mean_us) / 8)
--- a/standins/fleet/servers.py
+++ b/standins/fleet/servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import sys
 import time
 from collections import Counter, deque
@@ -33,7 +34,8 @@
         self.open_most: Counter[int] = Counter()
 
     def second(self) -> int:
-        return int(time.monotonic() - self.plan.starts_at)
+        """Hazard: cut off instead of rounded down, the second before the play would count with its first."""
+        return math.floor(time.monotonic() - self.plan.starts_at)
 
     def count(self, name: str) -> None:
         self.counts.setdefault(name, Counter())[self.second()] += 1
--- a/tests/decisions/test_draw.py
+++ b/tests/decisions/test_draw.py
@@ -146,7 +146,7 @@
         pool.credit = 2.0
     for class_index in range(3):
         event = api.RequestArrived(9_999, balancer.now_us + 1_000_000, class_index)
-        request = Request(event, balancer.now_us)
+        request = Request(event, balancer.settings.classes[class_index], balancer.now_us)
         expected = choices(balancer, request)
         count = 4_000
         drawn = Counter(server.entry.id for _ in range(count) if (server := balancer.draw(request)))
@@ -166,7 +166,8 @@
     assert {send.upstream for ident in idents for send in played.sends(ident)} == {101}
     balancer = played.balancer
     event = api.RequestArrived(9_999, balancer.now_us + 1_000_000, barred=frozenset((100, 101, 102)))
-    assert [balancer.draw(Request(event, balancer.now_us)) for _ in range(50)] == [None] * 50
+    request = Request(event, balancer.settings.classes[0], balancer.now_us)
+    assert [balancer.draw(request) for _ in range(50)] == [None] * 50
 
 
 def test_the_count_of_muted_servers_follows_their_ends_and_the_list() -> None:
