--- a/tests/hooks/test_hook.py
+++ b/tests/hooks/test_hook.py
@@ -10,7 +10,7 @@
 from plovertrail.config.hooks import HookSetup
 from plovertrail.decisions.verdicts import Allowed, Verdict, check_request
 from plovertrail.hooks.bounds import MOST_COMPILED, HookFault
-from plovertrail.hooks.engine import BadModule, Runtime
+from plovertrail.hooks.engine import BadModule, Bounds, Instance, Runtime
 from plovertrail.hooks.hook import LOGS_A_SECOND, Hook
 from tests.hooks import wat
 
@@ -128,3 +128,11 @@
         hook.run("on_request", b"", ALLOWED, check_request, 0)
     except HookFault:
         assert hook.figures.faults == 1
+
+
+@pytest.mark.parametrize("body", [wat.LOOP, wat.SLOW_BULK])
+def test_the_clock_stops_what_fuel_would_let_run_for_a_minute(body: str, runtime: Runtime) -> None:
+    compiled = runtime.compile_module(wat.module(on_request=body))
+    instance = Instance(runtime, compiled, Bounds(fuel=20_000_000_000, memory=1 << 20))
+    with pytest.raises(HookFault, match="it ran for too long"):
+        instance.call("on_request", b"")
