The fair door: tenants share a pool's slots by weight when these run out

On a drop one publisher's serial took the slots and starved the small ones: the module's one buffer is fair to none.

A pool with fair has a door before its slots: start-time fair queueing by the time that slots are held, as measured; queues fixed in number whatever names appear; Retry-After that is the client's own place, kept when it comes back; no request waits past its time or max_wait, and what is given up on is answered at once. The host lets one through at a time, when the module says that a slot is free. plovertrail top shows it live.

Tried first and dropped: keeping promised places free starved a tenant altogether.

--- a/plovertrail/cli/__init__.py
+++ b/plovertrail/cli/__init__.py
@@ -11,6 +11,7 @@
 from plovertrail.cli.route import route
 from plovertrail.cli.seal import seal
 from plovertrail.cli.serve import serve
+from plovertrail.cli.top import top
 
 
 @click.group()
@@ -18,5 +19,5 @@
     """A balancer that keeps its rules when things break."""
 
 
-for command in (serve, check, route, status, drain, undrain, seal, hook, demo):
+for command in (serve, check, route, status, drain, undrain, seal, hook, top, demo):
     main.add_command(command)
--- a/plovertrail/config/operator.py
+++ b/plovertrail/config/operator.py
@@ -22,6 +22,7 @@
 from plovertrail.config.problems import ConfigError, Problem, did_you_mean
 from plovertrail.config.tables import duration_us, key_path, read_table, size_bytes
 from plovertrail.decisions import sockets
+from plovertrail.decisions.fairness import DoorSettings
 from plovertrail.decisions.interface import RequestClass, Settings, Tenant
 from plovertrail.decisions.membership import Entry, Guards
 from plovertrail.decisions.paths import BadTarget, normalise_host, normalise_path
@@ -76,6 +77,7 @@
 
 class TenantTable(msgspec.Struct, kw_only=True):
     allowance_per_s: Annotated[float, msgspec.Meta(ge=0)]
+    weight: Annotated[float, msgspec.Meta(ge=0, le=1000)] = 1.0
 
 
 class ClassTable(msgspec.Struct, kw_only=True):
@@ -120,6 +122,12 @@
     dials_per_s: Annotated[float, msgspec.Meta(ge=0, le=1_000_000)] = 0.0
 
 
+class FairTable(msgspec.Struct, kw_only=True):
+    default_weight: Annotated[float, msgspec.Meta(ge=0, le=1000)] = 1.0
+    max_waiting: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 256
+    max_wait: str = "200ms"
+
+
 class FleetTable(msgspec.Struct, kw_only=True):
     name: str = ""
     instances_from: str = ""
@@ -144,6 +152,7 @@
     max_sockets: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
     max_sockets_per_server: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
     share: dict[str, Any] = {}
+    fair: dict[str, Any] | None = None
     classes: dict[str, Any] = {}
 
 
@@ -244,6 +253,7 @@
     max_sockets: int  # beside its connections for requests; 0 = none
     max_sockets_per_server: int
     bounds: Bounds  # what one of its servers bears from all instances
+    door: DoorSettings | None  # None: requests take slots as they come
 
     @property
     def lists(self) -> list[tuple[str, bool]]:
@@ -362,6 +372,8 @@
             whole = FileTable(**parts)
         limits, instances = self.limits(whole.limits)
         tenants = self.tenants(whole.tenants)
+        self.weights = tuple((name, float(item.get("weight", 1.0))) for name, item in whole.tenants.items()
+                             if isinstance(item, dict) and isinstance(item.get("weight", 1.0), int | float))
         classes, key_headers = self.classes(whole.classes)
         listeners = self.listeners(whole.listeners)
         home = str(whole.limits.get("zone", ""))
@@ -529,7 +541,17 @@
         return Pool(name, settings, time("idle_timeout", 0), table.max_connections, servers, home,
                     tuple(table.servers_from), table.whole == "checksum", guards, table.max_sockets,
                     table.max_sockets_per_server or table.max_sockets,
-                    Bounds(share.servers, share.connections, share.dials_per_s))
+                    Bounds(share.servers, share.connections, share.dials_per_s),
+                    self.door(table, place, settings.max_retry_after_us))
+
+    def door(self, table: PoolTable, place: str, max_retry_after_us: int) -> DoorSettings | None:
+        """How a pool's slots are shared among tenants."""
+        if table.fair is None:
+            return None
+        place = f"{place}.fair"
+        fair = read_table(FairTable, table.fair, place, self.problems) or FairTable()
+        wait_us = duration_us(fair.max_wait, f"{place}.max_wait", self.problems)
+        return DoorSettings(self.weights, fair.default_weight, fair.max_waiting, wait_us, max_retry_after_us)
 
     def fleet(self, raw: object, instances: int, pools: Mapping[str, Pool]) -> FleetSetup:
         """Who this instance is among those that share the servers."""
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -20,6 +20,7 @@
 from plovertrail.config.problems import ConfigError, Problem
 from plovertrail.control import ControlSocket
 from plovertrail.decisions import share
+from plovertrail.decisions.fairness import Door
 from plovertrail.decisions.membership import Candidate, State
 from plovertrail.fronts.ordinary import OrdinaryFront
 from plovertrail.fronts.relay import SOCKET_BYTES
@@ -97,6 +98,17 @@
     return {source.name: first_read(source) for source in sources}
 
 
+def door_status(door: Door | None) -> dict[str, Any]:
+    """What a pool's tenants have had, for operators; nothing where it has no door."""
+    if door is None:
+        return {}
+    return {name or "(others)": {
+        "weight": each.weight, "admitted": each.admitted, "refused": each.refused, "waiting": each.waiting,
+        "at_work": each.out, "work_s": round(each.work_done_us / 1e6, 3),
+        "work_ms": round(each.work_us / 1e3, 2), "wait_ms": round(each.waited_us / 1e3, 2)}
+        for name, each in door.shares.items()}
+
+
 class HookLoader:
     """Brings the engine in when the first hook is configured: it is large, and most daemons have none."""
 
@@ -144,11 +156,16 @@
         self.pool = host.add_pool(config.name, config.settings, seed, self.connections)
         self.budget = share.Budget()
         self.overdrawn = ""
+        self.use_door(host, seed)
         if config.bounds.servers:
             zones = config.settings.cross_zone_fee > 0
             host.use_subset(self.pool, share.Subset(
                 chosen_by[0], config.bounds.servers, chosen_by[1], config.settings.zone if zones else None))
 
+    def use_door(self, host: Host, seed: int) -> None:
+        """Share the slots as configured now."""
+        host.use_door(self.pool, self.config.door, random.Random(seed).random)
+
     def take_part(self, fleet: share.Fleet) -> None:
         """Keep to this instance's part of what the servers that are listed bear from the whole fleet."""
         bounds, servers = self.config.bounds, len(self.roster.state.members)
@@ -227,6 +244,7 @@
                 roster.attach(pool.pool)
             else:
                 pool.config = config
+                pool.use_door(self.host, self.seeds())
                 roster.configure(config.servers, sources, config.guards, config.home_zone, fresh)
             pools[name] = pool
         self.pools = pools  # till here the old ones, which tell what servers are known already
@@ -377,6 +395,7 @@
                           "connections_each": running.budget.connections_each,
                           "dial_gap_us": running.budget.dial_gap_us,
                           "servers": len(running.pool.serving)},
+                "fair": door_status(running.pool.door),
                 "sources": {layer.source: {"servers": len(layer.entries), "version": layer.version}
                             for layer in state.layers},
                 "leaving": [member.entry.id for member, _ in state.leaving.values()],
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -205,6 +205,21 @@
         actions, self.actions = self.actions, []
         return actions
 
+    def has_room(self, now_us: int) -> bool:
+        """Whether a request that is there would find a free slot; for what lets requests through to here.
+        Hazard: slots open only where they were short, and what waits elsewhere must count for that."""
+        self.now_us = now_us
+        self.open_rested()
+        if self.buffer is None and any(
+                pool.in_use.whole > 0.0 or pool.others.whole > 0.0 for pool in self.pools):
+            return True
+        self.short_us = now_us
+        return False
+
+    def next_rested_us(self) -> int:
+        """When the next slot opens by time and not by an event."""
+        return self.rests[0][0] if self.rests else NEVER_US
+
     def on_arrival(self, event: api.RequestArrived) -> None:
         if event.request in self.requests:
             return
--- a/plovertrail/exchange.py
+++ b/plovertrail/exchange.py
@@ -57,6 +57,8 @@
     retried: bool = False
     host: bytes = b""  # for the upstream; empty: its address
     handshake: Handshake | None = None
+    tenant_name: str = ""
+    client: str = ""  # the client's address
 
 
 class Verdict(enum.Enum):
--- a/plovertrail/fronts/ordinary.py
+++ b/plovertrail/fronts/ordinary.py
@@ -202,7 +202,8 @@
             self.reader.read_on()
         return Call(message.method, routed.target, kept, message.body, arrived_us, wait_us, plan.class_index,
                     ident, tenant, hash(key) & 0xFFFF_FFFF_FFFF_FFFF if key else 0,
-                    host=plan.set_host or authority, handshake=self.socket), plan
+                    host=plan.set_host or authority, handshake=self.socket,
+                    tenant_name=tenant_name.decode("latin-1"), client=self.peer()), plan
 
     def peer(self) -> str:
         """The client's address."""
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -18,6 +18,7 @@
 from plovertrail.decisions import interface as api
 from plovertrail.decisions.balance import Balancer, Reissues
 from plovertrail.decisions.failover import Standing, kept_attempts, next_pool
+from plovertrail.decisions.fairness import Action, Admitted, Door, DoorSettings
 from plovertrail.decisions.share import Subset
 from plovertrail.exchange import Answer, Call, Flight, Handshake, Result, Upstreams, Verdict
 
@@ -26,6 +27,7 @@
 ANSWER_MARGIN_US = 10_000  # an answer sets out so long before the client's time is out, to be there in time
 BACKSTOP_US = 5_000  # the host's own deadline comes so long after the module's
 SLICE = 250  # servers of a list that are told in one go: a module takes about 10 us for each
+LEAST_PAUSE_US = 1_000  # between two looks at a door
 NARROW_S = 1.0  # between two looks at what a subset can do without
 Address = tuple[str, int]
 
@@ -60,6 +62,9 @@
         self.telling: asyncio.Handle | None = None
         self.retired = False
         self.dial_timer: asyncio.TimerHandle | None = None
+        self.door: Door | None = None  # None: requests go to the module as they come
+        self.door_timer: asyncio.TimerHandle | None = None
+        self.door_due_us = 0  # when that fires
 
     def forget(self, ident: int) -> None:
         """Nothing new goes to a server, or to its old address."""
@@ -154,6 +159,8 @@
     standing: Standing
     pool: ServerPool | None = None  # the one that has it now
     first: int = 0  # the number of that pool's first attempt
+    asks: api.RequestArrived | None = None  # what that pool's module is told once its door lets it through
+    work_us: int = 0  # for how long that pool's slots were held, over its attempts
     last: Result | None = None  # of the attempt that ended last
     attempts: list[Attempt] = field(default_factory=list)
     timer: asyncio.TimerHandle | None = None
@@ -238,6 +245,18 @@
         pool.subset = subset
         self.loop.call_later(NARROW_S, self._narrow, pool)
 
+    def use_door(self, pool: ServerPool, settings: DoorSettings | None, rng: Callable[[], float]) -> None:
+        """A pool has a door, another one, or none, from now on; who waits at it goes on waiting, or is let
+        through."""
+        if settings is not None and pool.door is not None:
+            pool.door.configure(settings)
+        elif settings is not None:
+            pool.door = Door(settings, clock_us(), rng)
+        elif pool.door is not None:
+            waiting, pool.door = list(pool.door.waiting), None
+            for ident in waiting:
+                self._let_through(pool, ident)
+
     def _tell_list(self, pool: ServerPool, event: api.UpstreamsUpdated) -> None:
         pool.follow(event)
         self._tell(pool, event)
@@ -283,6 +302,8 @@
         try:
             while self.events:
                 self._handle(*self.events.popleft())
+                if not self.events:
+                    self._open_doors()
         finally:
             self.running = False
 
@@ -354,18 +375,92 @@
             answer.result = request.last
             self._answer(request.ident, answer)
             return
+        self._leave_door(request)
         pool, call = request.pools[number], request.call
         barred = pool.upstreams.shut(handshake is not None)
         if handshake is not None:
             barred = Either(barred, handshake.barred(pool.name))
         standing.asked = number + 1
         request.pool, request.first = pool, len(request.attempts)
-        self._tell(pool, api.RequestArrived(request.ident, request.due_us, call.class_index, call.tenant,
-                                            call.key, call.cost_us, call.retried,
-                                            earlier_attempts=standing.attempts,
-                                            kept_attempts=kept_attempts(standing, serving, number, most),
-                                            barred=barred))
-        self._wake_for_dial(pool, request)
+        request.asks = api.RequestArrived(request.ident, request.due_us, call.class_index, call.tenant,
+                                          call.key, call.cost_us, call.retried,
+                                          earlier_attempts=standing.attempts,
+                                          kept_attempts=kept_attempts(standing, serving, number, most),
+                                          barred=barred)
+        if pool.door is None:
+            self._let_through(pool, request.ident)
+        else:
+            self._to_door(pool, pool.door, request)
+
+    # Doors
+
+    def _to_door(self, pool: ServerPool, door: Door, request: Request) -> None:
+        """A request comes to a pool's door. Hazard: what has been let through and not been told yet will take
+        slots that still look free."""
+        call, now_us = request.call, clock_us()
+        room = not self.events and pool.balancer.has_room(now_us)
+        actions = door.arrived(request.ident, call.tenant_name, call.client,
+                               pool.settings.classes[call.class_index].worth, request.due_us, now_us, room)
+        self._from_door(pool, actions)
+        if request.ident in door.waiting:
+            self._mind_door(pool, door)
+            if pool.subset is not None:
+                self._changed_subset(pool, pool.subset.short(now_us))
+
+    def _from_door(self, pool: ServerPool, actions: Sequence[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Admitted):
+                self._let_through(pool, action.ident)
+            else:
+                after_us = action.retry_after_us if pool.settings.retry_after else 0
+                self._gave_up(pool, action.ident, Answer(Verdict.REFUSED, after_us))
+
+    def _let_through(self, pool: ServerPool, ident: int) -> None:
+        request = self.requests.get(ident)
+        if request is not None and not request.over and request.asks is not None:
+            asks, request.asks = request.asks, None
+            self._tell(pool, asks)
+            self._wake_for_dial(pool, request)
+
+    def _open_doors(self) -> None:
+        """The next one is let through where there is room, one at a time, as each takes a slot."""
+        for pool in self.pools:
+            door = pool.door
+            if door is not None and door.waiting and pool.balancer.has_room(clock_us()):
+                admitted = door.next(clock_us())
+                if admitted is not None:
+                    self._let_through(pool, admitted.ident)
+                    return  # its event is in the queue now, and the doors are looked at again after it
+
+    def _mind_door(self, pool: ServerPool, door: Door) -> None:
+        """Hazard: a slot that opens by time, or a wait that ends, has no event to wake the door."""
+        expiry_us = door.next_expiry_us()
+        if expiry_us is None:
+            return
+        at_us = max(min(expiry_us, pool.balancer.next_rested_us()), clock_us() + LEAST_PAUSE_US)
+        if pool.door_timer is not None:
+            if pool.door_due_us <= at_us:
+                return
+            pool.door_timer.cancel()
+        pool.door_timer, pool.door_due_us = self._at(at_us, self._door_due, pool), at_us
+
+    def _door_due(self, pool: ServerPool) -> None:
+        pool.door_timer = None
+        door = pool.door
+        if door is not None:
+            self._from_door(pool, door.expired(clock_us()))
+            self._tell(pool, api.TimerFired(0))
+            self._mind_door(pool, door)
+
+    def _leave_door(self, request: Request) -> None:
+        """A pool's door is rid of a request: it waits no more, or what it let through is over."""
+        pool, request.asks = request.pool, None
+        if pool is not None and pool.door is not None:
+            pool.door.gone(request.ident, clock_us())
+            pool.door.ended(request.ident, request.work_us, clock_us())
+        request.work_us = 0
+
+    # Times
 
     def _wake_for_dial(self, pool: ServerPool, request: Request) -> None:
         """Hazard: a request that waits for a connection that may be made later has no event to wake it."""
@@ -395,6 +490,8 @@
     def _finish(self, request: Request) -> None:
         """Nothing is owed any more, and what has not been written yet is not sent."""
         request.over = True
+        if request.asks is not None:
+            self._leave_door(request)
         if request.timer is not None:
             request.timer.cancel()
         for number, attempt in enumerate(request.attempts):
@@ -404,8 +501,9 @@
         self._drop_if_done(request)
 
     def _drop_if_done(self, request: Request) -> None:
-        if request.over and all(attempt.ended for attempt in request.attempts):
-            self.requests.pop(request.ident, None)
+        over = request.over and all(attempt.ended for attempt in request.attempts)
+        if over and self.requests.pop(request.ident, None) is not None:
+            self._leave_door(request)
 
     # Attempts
 
@@ -469,10 +567,11 @@
         if request.call.handshake is not None:
             result = self._socket_result(request, attempt, result, request.call.handshake)
         request.last = result
+        elapsed_us = clock_us() - attempt.sent_us
+        request.work_us += elapsed_us
         request.standing.attempt_ended(result.outcome)
         if result.outcome is api.Outcome.OK:
             self._answer(request.ident, Answer(Verdict.SERVED, result=result))
-        elapsed_us = clock_us() - attempt.sent_us
         self._drop_if_done(request)
         self._tell(attempt.pool, api.AttemptEnded(request.ident, number - request.first, attempt.upstream,
                                                   result.outcome, elapsed_us, request.over))
--- /dev/null
+++ b/tests/cli/test_top.py
@@ -0,0 +1,74 @@
+"""`plovertrail top`: what it makes of two looks at a daemon, and of a daemon that is not there."""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from click.testing import CliRunner
+
+from plovertrail.cli import main
+from plovertrail.cli.top import rows
+
+
+def tenant(admitted: int, work_s: float, waiting: int = 0, refused: int = 0) -> dict[str, Any]:
+    return {"weight": 2.0, "admitted": admitted, "refused": refused, "waiting": waiting, "at_work": 0,
+            "work_s": work_s, "work_ms": 20.0, "wait_ms": 1.5}
+
+
+def test_shares_and_rates_are_of_the_time_between_two_looks() -> None:
+    before = {"main": {"a": tenant(100, 9.0), "b": tenant(10, 1.0), "idle": tenant(5, 1.0)}}
+    now = {"main": {"a": tenant(120, 10.0), "b": tenant(80, 4.0, 3, 4), "idle": tenant(5, 1.0)}}
+    assert rows(before, now, 2.0) == [
+        ["main", "b", "2", "75.0 %", "35.0", "2.0", "3", "0", "20.0", "1.5"],
+        ["main", "a", "2", "25.0 %", "10.0", "0.0", "0", "0", "20.0", "1.5"],
+    ]
+    # a tenant that a reload has made anew has less than before
+    assert rows(now, {"main": {"a": tenant(1, 0.5)}}, 1.0) == []
+
+
+@contextmanager
+def daemon(path: Path, answers: list[dict[str, Any]]) -> Iterator[None]:
+    """Answers each call with the next of these."""
+    listener = socket.socket(socket.AF_UNIX)
+    listener.bind(str(path))
+    listener.listen()
+
+    def serve() -> None:
+        for answer in answers:
+            caller, _ = listener.accept()
+            with caller, caller.makefile("rwb") as file:
+                file.readline()
+                file.write(json.dumps({"ok": True, "status": {"pools": answer}}).encode() + b"\n")
+
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    try:
+        yield
+    finally:
+        thread.join(10)
+        listener.close()
+
+
+def test_it_draws_the_tenants_as_often_as_asked(tmp_path: Path) -> None:
+    looks: list[dict[str, Any]] = [{"main": {"fair": {"kidlat": tenant(n, n / 10)}}, "plain": {"fair": {}}}
+                                   for n in range(3)]
+    with daemon(tmp_path / "control", looks):
+        result = CliRunner().invoke(
+            main, ["top", "--socket", str(tmp_path / "control"), "--every", "0.01", "--times", "2"],
+            env={"COLUMNS": "120"})
+    assert result.exit_code == 0, result.output
+    assert "kidlat" in result.output and "100.0 %" in result.output and "plain" not in result.output
+
+
+def test_without_a_door_or_a_daemon_it_says_so(tmp_path: Path) -> None:
+    with daemon(tmp_path / "control", [{"plain": {"fair": {}}}]):
+        result = CliRunner().invoke(main, ["top", "--socket", str(tmp_path / "control")])
+    assert result.exit_code == 0 and "write fair = {}" in result.output
+    result = CliRunner().invoke(main, ["top", "--socket", str(tmp_path / "nothing")])
+    assert result.exit_code == 1 and "no daemon answers" in result.output
--- a/tests/config/test_docs.py
+++ b/tests/config/test_docs.py
@@ -51,6 +51,15 @@
             assert told[name] == (default if isinstance(default, str) else f"{default:g}"), name
 
 
+def test_every_key_of_fair_is_on_its_page() -> None:
+    page = (Path(__file__).resolve().parents[2] / "docs" / "fair.md").read_text()
+    text = page.split("## `fair` of")[1].split("\n## ")[0]
+    told = dict(re.findall(r"^\| `([a-z_]+)` \| `\"?([^`\"|]+?)\"?` \|", text, re.M))
+    for field in msgspec.structs.fields(operator.FairTable):
+        assert told.pop(field.name) == str(field.default)
+    assert not told
+
+
 def test_every_guard_is_on_the_page_of_lists() -> None:
     page = (Path(__file__).resolve().parents[2] / "docs" / "lists.md").read_text()
     text = page.split("## Guards")[1].split("\n## ")[0]
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -110,6 +110,21 @@
         'name = "rest"\nhooks = ["a"]\nhook_classes = ["bay"]',
         'routes[1] ("rest").hook_classes[0]: no class is called "bay"; did you mean "buy"?',
     ),
+    "a weight below zero": (
+        "[limits]",
+        "[tenants.a]\nallowance_per_s = 1\nweight = -1\n[limits]",
+        "tenants.a.weight: expected `float` >= 0",
+    ),
+    "a door with no time": (
+        "[pools.spare]",
+        '[pools.spare]\nfair = { max_wait = "soon" }',
+        "pools.spare.fair.max_wait: 'soon' is no time",
+    ),
+    "a door with room for nobody": (
+        "[pools.spare]",
+        "[pools.spare]\nfair = { max_waiting = 0 }",
+        "pools.spare.fair.max_waiting: expected `int` >= 1",
+    ),
     "a missing key": ('effect = "safe"\n', "", "classes.read: the key effect is missing"),
     "an unknown effect": ('"safe"', '"sure"', "classes.read.effect: invalid enum value 'sure'"),
     "no time": (
--- /dev/null
+++ b/tests/test_doors.py
@@ -0,0 +1,250 @@
+"""A pool's door in a daemon: who goes next, who leaves, and that nobody is lost on the way."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from standins.web import NOT_RUN, OK, Arrival, Line, WebServer, always
+from tests.daemons import Client, Running, message, run, running
+from tests.net import until
+
+ROUTES = """
+[[routes]]
+name = "all"
+class = "buy"
+pools = [{pools}]
+tenant = "header:X-Tenant"
+"""
+TENANTS = "".join(f"[tenants.{name}]\nallowance_per_s = 10\n" for name in ("big", "small"))
+PATIENT = 'fair = { max_wait = "14s" }'
+
+
+class Held:
+    """A server that keeps each request until it is let go."""
+
+    def __init__(self) -> None:
+        self.order: list[str] = []
+        self.release = asyncio.Semaphore(0)
+        self.server = WebServer(self.script)
+
+    async def script(self, server: WebServer, arrival: Arrival, line: Line) -> bytes:
+        self.order.append(arrival.all("X-Tenant")[0].decode())
+        await self.release.acquire()
+        return OK
+
+
+@asynccontextmanager
+async def site(folder: Path, held: Held, extra: str = PATIENT, head: str = TENANTS,
+               spare: WebServer | None = None) -> AsyncIterator[Running]:
+    pools = {"main": [held.server]} | ({"spare": [spare]} if spare is not None else {})
+    names = ", ".join(f'"{name}"' for name in pools)
+    async with running(folder, pools, routes=ROUTES.format(pools=names), head=head, pool_extra=extra) as it:
+        yield it
+
+
+async def begin(it: Running, tenant: str) -> Client:
+    client = await it.connect()
+    client.writer.write(message("POST /buy", f"X-Tenant: {tenant}", body=b"coins"))
+    return client
+
+
+def waiting(it: Running) -> dict[str, int]:
+    fair: dict[str, Any] = it.daemon.status()["pools"]["main"]["fair"]
+    return {name: each["waiting"] for name, each in fair.items()}
+
+
+async def crowded(it: Running, held: Held, big: int) -> list[Client]:
+    """One request at the server, and so many of the same tenant at the door."""
+    clients = [await begin(it, "big")]
+    await until(lambda: len(held.order) == 1)
+    clients += [await begin(it, "big") for _ in range(big)]
+    await until(lambda: waiting(it)["big"] == big)
+    return clients
+
+
+def test_a_small_tenant_goes_before_what_a_big_one_has_waiting(tmp_path: Path) -> None:
+    async def test() -> None:
+        held = Held()
+        async with site(tmp_path, held) as it:
+            clients = await crowded(it, held, 5)
+            clients.append(await begin(it, "small"))
+            await until(lambda: waiting(it)["small"] == 1)
+            held.release.release()  # with this answer two slots are free at most, and five wait before it
+            await until(lambda: "small" in held.order)
+            for _ in range(7):
+                held.release.release()
+            for client in clients:
+                assert (await client.reply()).status == 200
+                client.close()
+            assert sorted(held.order) == ["big"] * 6 + ["small"]
+            found = it.daemon.status()["pools"]["main"]["fair"]
+            assert (found["big"]["admitted"], found["small"]["admitted"]) == (6, 1)
+            assert found["big"]["at_work"] == found["small"]["at_work"] == 0
+            assert found["big"]["work_s"] > 0
+
+    run(test)
+
+
+def test_one_whose_client_goes_leaves_the_door(tmp_path: Path) -> None:
+    async def test() -> None:
+        held = Held()
+        async with site(tmp_path, held) as it:
+            clients = await crowded(it, held, 2)
+            clients[1].close()
+            await until(lambda: waiting(it)["big"] == 1)
+            for _ in range(3):
+                held.release.release()
+            for client in (clients[0], clients[2]):
+                assert (await client.reply()).status == 200
+                client.close()
+            assert held.order == ["big"] * 2
+
+    run(test)
+
+
+def test_one_that_waits_for_too_long_is_told_when_to_come_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        held = Held()
+        async with site(tmp_path, held, 'fair = { max_wait = "100ms" }') as it:
+            first = await begin(it, "big")
+            await until(lambda: len(held.order) == 1)
+            reply = await it.ask(message("POST /buy", "X-Tenant: big", body=b"coins"))
+            assert reply.status == 503 and 1 <= int(reply.all("Retry-After")[0]) <= 2
+            assert held.order == ["big"] and waiting(it)["big"] == 0
+            held.release.release()
+            assert (await first.reply()).status == 200
+            first.close()
+
+    run(test)
+
+
+def test_one_with_less_time_than_those_before_it_is_refused_within_it(tmp_path: Path) -> None:
+    """And as one that never ran: 503, not the 504 of a time-out."""
+
+    async def test() -> None:
+        held = Held()
+        async with site(tmp_path, held) as it:
+            clients = await crowded(it, held, 1)
+            hasty = message("POST /buy", "X-Tenant: small", "X-Deadline-Ms: 400", body=b"coins")
+            assert (await it.ask(hasty)).status == 503
+            assert waiting(it) == {"big": 1, "small": 0, "(others)": 0} and held.order == ["big"]
+            for _ in range(2):
+                held.release.release()
+            for client in clients:
+                assert (await client.reply()).status == 200
+                client.close()
+
+    run(test)
+
+
+def test_a_full_door_refuses_the_one_with_the_most_waiting_and_the_next_pool_takes_it(tmp_path: Path) -> None:
+    async def test() -> None:
+        held, spare = Held(), WebServer()
+        extra = 'fair = { max_wait = "14s", max_waiting = 2 }'
+        async with site(tmp_path, held, extra, spare=spare) as it:
+            clients = await crowded(it, held, 2)
+            reply = await it.ask(message("POST /buy", "X-Tenant: big", body=b"coins"))
+            assert reply.status == 200 and spare.count == 1  # it never ran in the first pool
+            small = await begin(it, "small")
+            await until(lambda: spare.count == 2)  # one of the big tenant's made room
+            assert waiting(it) == {"big": 1, "small": 1, "(others)": 0}
+            for _ in range(3):
+                held.release.release()
+            for client in (*clients, small):
+                assert (await client.reply()).status == 200
+                client.close()
+            assert sorted(held.order) == ["big", "big", "small"]
+
+    run(test)
+
+
+@pytest.mark.parametrize("change", ["weights", "off"])
+def test_a_reload_loses_nobody_who_waits(change: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        held = Held()
+        async with site(tmp_path, held) as it:
+            clients = await crowded(it, held, 3)
+            text = it.path.read_text()
+            if change == "weights":
+                text = text.replace("[tenants.big]", "[tenants.big]\nweight = 5")
+                assert await it.change(text.replace("14s", "13s"))
+                assert waiting(it)["big"] == 3
+                assert it.daemon.status()["pools"]["main"]["fair"]["big"]["weight"] == 5
+            else:
+                # let through at once: the module's one buffer takes one of them, and refuses the others
+                assert await it.change(text.replace(PATIENT, ""))
+                assert it.daemon.status()["pools"]["main"]["fair"] == {}
+            for _ in range(4):
+                held.release.release()
+            found = [(await client.reply()).status for client in clients]
+            assert found == [200] * 4 if change == "weights" else sorted(set(found)) in ([200], [200, 503])
+            for client in clients:
+                client.close()
+            assert not it.daemon.host.requests
+
+    run(test)
+
+
+def test_a_stop_answers_all_who_wait(tmp_path: Path) -> None:
+    async def test() -> None:
+        held = Held()
+        async with site(tmp_path, held) as it:
+            clients = await crowded(it, held, 3)
+            stopping = asyncio.create_task(it.daemon.stop())
+            for _ in range(4):
+                held.release.release()
+            assert [(await client.reply()).status for client in clients] == [200] * 4
+            for client in clients:
+                client.close()
+            await stopping
+
+    run(test)
+
+
+def test_a_tenants_names_that_are_not_listed_share_one_place(tmp_path: Path) -> None:
+    async def test() -> None:
+        held = Held()
+        async with site(tmp_path, held) as it:
+            clients = await crowded(it, held, 1)
+            clients += [await begin(it, f"made-up-{number}") for number in range(20)]
+            await until(lambda: waiting(it)["(others)"] == 20)
+            assert set(waiting(it)) == {"big", "small", "(others)"}
+            for _ in range(22):
+                held.release.release()
+            for client in clients:
+                assert (await client.reply()).status == 200
+                client.close()
+
+    run(test)
+
+
+def test_without_the_table_there_is_no_door(tmp_path: Path) -> None:
+    async def test() -> None:
+        held = Held()
+        held.release.release()
+        async with site(tmp_path, held, extra="") as it:
+            assert it.daemon.status()["pools"]["main"]["fair"] == {}
+            assert (await it.ask(message("POST /buy", "X-Tenant: big", body=b"coins"))).status == 200
+
+    run(test)
+
+
+def test_one_that_goes_on_to_the_next_pool_is_at_work_in_the_first_no_more(tmp_path: Path) -> None:
+    async def test() -> None:
+        held, spare = Held(), WebServer()
+        held.server.script = always(NOT_RUN)
+        async with site(tmp_path, held, spare=spare) as it:
+            reply = await it.ask(message("POST /buy", "X-Tenant: big", body=b"coins"))
+            assert reply.status == 200 and spare.count == 1
+            found = it.daemon.status()["pools"]["main"]["fair"]["big"]
+            assert found["admitted"] == 1 and found["at_work"] == 0
+            door = it.daemon.pools["main"].pool.door
+            assert door is not None and not door.out and not door.active
+
+    run(test)
