--- a/benchmarks/hook_cost.py
+++ b/benchmarks/hook_cost.py
@@ -58,6 +58,17 @@
     return made
 
 
+def request_bytes(through: Chain | None) -> float:
+    """What a request that is open holds for its hooks."""
+    if through is None:
+        return 0.0
+    tracemalloc.start()
+    held = [trail(through) for _ in range(1000)]
+    found = tracemalloc.get_traced_memory()[0] / len(held)
+    tracemalloc.stop()
+    return found
+
+
 def instance_bytes(runtime: Runtime) -> float:
     """Resident bytes of one instance, as the kernel counts them."""
     compiled = runtime.compile_module(bytes(wasmtime.wat2wasm(ALLOW)))
@@ -99,18 +110,16 @@
                     trail(through)
             found[name].append((time.perf_counter() - began) / count * 1e6)
     took = {name: statistics.median(each) for name, each in found.items()}
-    one = chains["one"]
-    assert one is not None
-    tracemalloc.start()
-    held = [trail(one) for _ in range(1000)]
-    open_bytes = tracemalloc.get_traced_memory()[0] / len(held)
-    tracemalloc.stop()
+    open_bytes = {name: request_bytes(through) for name in ("none", "one", "five")
+                  for through in [chains[name]]}
     of_instance = instance_bytes(runtime)
     runtime.stop()
     table(["hooks", "us a request"], [[name, each] for name, each in took.items()])
-    print(f"{open_bytes:.0f} bytes an open request, {of_instance:.0f} bytes an instance")
+    told = ", ".join(f"{each:.0f} ({name})" for name, each in open_bytes.items())
+    print(f"bytes an open request: {told}; {of_instance:.0f} bytes an instance beside its memory")
     figures: dict[str, object] = {name: round(each, 1) for name, each in took.items()}
-    figures |= {"bytes an open request": round(open_bytes), "bytes an instance": round(of_instance)}
+    figures |= {f"bytes an open request, {name}": round(each) for name, each in open_bytes.items()}
+    figures["bytes an instance"] = round(of_instance)
     return close("hook_cost", figures, [Bar("one hook, us a request", took["one"], 60.0)])
 
 
