Clients that come back when told go first, and may wait for half their time

Seen by counts in the door: they were known again, but went first within one of 16 client queues only, and the others' turns went to those who came unbidden; and told in whole seconds, those refused together came back together, more than max_wait takes. They have a queue of their own now, served first within their tenant's share, and may wait for half their client's time.

--- a/plovertrail/decisions/fairness.py
+++ b/plovertrail/decisions/fairness.py
@@ -18,6 +18,7 @@
 
 CLIENT_QUEUES = 16  # of a listed tenant; clients that meet in one share it
 OTHERS_QUEUES = 64  # of all tenants that are not listed, by tenant and client
+PROMISED = -1  # the place, in both, of the queue of clients that were told to come now
 WORK_MEMORY = 16  # requests that make up a tenant's usual work
 FIRST_WORK_US = 20_000  # till one has ended
 MOST_PROMISES = 4_096  # clients of a door that were told when to come back
@@ -38,7 +39,7 @@
     weights: tuple[tuple[str, float], ...] = ()  # of the listed tenants
     default_weight: float = 1.0  # of all others together
     most_waiting: int = 256  # requests that wait at once
-    most_wait_us: int = 200_000  # of one request
+    most_wait_us: int = 200_000  # of one request; of one that was told to come now, half its client's time
     max_retry_after_us: int = 2_000_000
 
 
@@ -57,13 +58,14 @@
 
 @dataclass(slots=True)
 class _Queue:
-    """The requests of some clients of a tenant: promised ones first, then by worth, then in their order."""
+    """The requests of some clients of a tenant, or of those that were told to come now: by worth, then in
+    their order."""
 
     tenant: Share
     place: int
     tag: float = 0.0  # virtual time at which its next request starts
     waiting: int = 0
-    heap: list[tuple[bool, float, int, Waiting]] = field(default_factory=list)
+    heap: list[tuple[float, int, Waiting]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -74,7 +76,7 @@
     weight: float
     tag: float = 0.0
     virtual: float = 0.0  # time among its queues
-    queues: list[_Queue] = field(default_factory=list)
+    queues: list[_Queue] = field(default_factory=list)  # the last one for those that were told to come
     backlogged: dict[int, _Queue] = field(default_factory=dict)
     waiting: int = 0
     promised: int = 0  # of these were told to come
@@ -139,7 +141,8 @@
             share = before.pop(name, None)
             if share is None:
                 share = Share(name, weight, tag=self.virtual)
-                share.queues = [_Queue(share, n) for n in range(CLIENT_QUEUES if name else OTHERS_QUEUES)]
+                places = CLIENT_QUEUES if name else OTHERS_QUEUES
+                share.queues = [_Queue(share, place) for place in (*range(places), PROMISED)]
             share.weight = weight
             self.shares[name] = share
         for gone in before.values():
@@ -168,13 +171,17 @@
         self._advance(now_us)
         share = self.shares.get(tenant) or self.shares[""]
         key = self._key(tenant, client)
-        queue = share.queues[key % len(share.queues)]
+        queue = share.queues[key % (len(share.queues) - 1)]
         promised = self._promised(key)
         if room and not self.waiting:
             self._charge(ident, queue)
             share.waited_us -= share.waited_us / WORK_MEMORY
             return [Admitted(ident)]
-        until_us = min(self.now_us + self.settings.most_wait_us, due_us - int(share.work_us))
+        patience_us = self.settings.most_wait_us
+        if promised:
+            # hazard: told in whole seconds, those who were refused together come back together
+            patience_us = max(patience_us, (due_us - self.now_us) // 2)
+        until_us = min(self.now_us + patience_us, due_us - int(share.work_us))
         # those who were told to come go before those who come unbidden
         ahead_us = self.wait_us(share, share.promised if promised else share.waiting)
         if self.now_us + ahead_us > until_us:
@@ -185,6 +192,8 @@
             if fattest is share and not promised and min(share.worths, default=worth) >= worth:
                 return [self._turned_away(ident, share, key)]
             actions.append(self._evict(fattest))
+        if promised:
+            queue = share.queues[PROMISED]
         waiting = Waiting(ident, worth, until_us, self.now_us, queue, key, promised)
         self.waiting[ident] = waiting
         self._put(waiting)
@@ -220,7 +229,8 @@
             return None
         # one of no weight has what nobody else wants
         share = min(self.backlogged.values(), key=lambda each: (each.weight <= 0.0, each.tag))
-        queue = min(share.backlogged.values(), key=lambda each: each.tag)
+        # hazard: taken in turn with the clients' queues, those that were told to come would come in vain
+        queue = share.backlogged.get(PROMISED) or min(share.backlogged.values(), key=lambda each: each.tag)
         waiting = self._first(queue)
         share.waited_us += (self.now_us - waiting.since_us - share.waited_us) / WORK_MEMORY
         self._leave(waiting.ident)
@@ -302,8 +312,8 @@
     def _evict(self, share: Share) -> TurnedAway:
         """The cheapest, and of these the last, of a tenant's waiting requests makes room."""
         entries = [entry for queue in share.backlogged.values() for entry in queue.heap
-                   if self.waiting.get(entry[3].ident) is entry[3]]
-        waiting = max(entries, key=lambda entry: entry[:3])[3]
+                   if self.waiting.get(entry[2].ident) is entry[2]]
+        waiting = max(entries, key=lambda entry: (not entry[2].promised, entry[:2]))[2]
         self._leave(waiting.ident)
         return self._turned_away(waiting.ident, share, waiting.key)
 
@@ -319,8 +329,8 @@
             queue.tag = max(queue.tag, share.virtual)
             share.backlogged[queue.place] = queue
         if len(queue.heap) > 2 * queue.waiting + STALE_BORNE:
-            queue.heap = sorted(entry for entry in queue.heap if self.waiting.get(entry[3].ident) is entry[3])
-        heapq.heappush(queue.heap, (not waiting.promised, -waiting.worth, self.number, waiting))
+            queue.heap = sorted(entry for entry in queue.heap if self.waiting.get(entry[2].ident) is entry[2])
+        heapq.heappush(queue.heap, (-waiting.worth, self.number, waiting))
         queue.waiting += 1
         share.waiting += 1
         share.promised += waiting.promised
@@ -334,9 +344,9 @@
 
     def _first(self, queue: _Queue) -> Waiting:
         """The one that goes first; those that have left are dropped on the way."""
-        while self.waiting.get(queue.heap[0][3].ident) is not queue.heap[0][3]:
+        while self.waiting.get(queue.heap[0][2].ident) is not queue.heap[0][2]:
             heapq.heappop(queue.heap)
-        return queue.heap[0][3]
+        return queue.heap[0][2]
 
     def _leave(self, ident: int) -> None:
         waiting = self.waiting.pop(ident, None)
--- a/tests/decisions/test_fairness.py
+++ b/tests/decisions/test_fairness.py
@@ -143,7 +143,7 @@
             if admitted is not None:
                 door.ended(admitted.ident, 20_000, number)
         door.expired(number)
-    assert set(door.shares) == {""} and len(door.shares[""].queues) == 64
+    assert set(door.shares) == {""} and len(door.shares[""].queues) == 65
     assert len(door.waiting) <= 50 and len(door.out) == 0
     assert len(door.promised) <= MOST_PROMISES and len(door.promises) <= MOST_PROMISES
     assert sum(len(queue.heap) for queue in door.shares[""].queues) <= 2 * 50 + 64 * 10
