--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -10,9 +10,11 @@
 
 import pytest
 
+from standins.live import LiveServer
 from standins.web import NOT_RUN, OK, Arrival, Line, WebServer, always
 from tests.daemons import Client, Running, message, run, running
 from tests.net import until
+from tests.websocket_site import SOCKETS, live_site
 
 ROUTES = """
 [[routes]]
@@ -248,3 +250,21 @@
             assert door is not None and not door.out and not door.active
 
     run(test)
+
+
+def test_handshakes_wait_at_a_door_and_hold_no_slot_once_they_are_sockets(tmp_path: Path) -> None:
+    """A burst of them, where slots open one answer at a time: each waits, and none is refused."""
+
+    async def test() -> None:
+        pool = SOCKETS + '\nfair = { max_wait = "14s" }'
+        async with live_site(tmp_path, [LiveServer()], pool=pool) as it:
+            clients = [await it.connect() for _ in range(20)]
+            found = await asyncio.gather(*(client.ask_socket("/") for client in clients))
+            assert found == [101] * 20
+            door = it.daemon.pools["main"].pool.door
+            assert door is not None and door.shares[""].admitted == 20
+            assert not door.out and not door.waiting
+            for client in clients:
+                client.close()
+
+    run(test)
