Hooks: one order of effects and one reading of a verdict's headers, not two of each

Read once more: verdicts.py repeated the interface's order of effects, the chain repeated which headers a verdict names, and an unused bound and two unused counts stood in the form of records and in the door's model. No check, bound or assertion has changed; the tests of hooks, verdicts, doors and commands pass.

--- a/plovertrail/decisions/verdicts.py
+++ b/plovertrail/decisions/verdicts.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from plovertrail.decisions.interface import RequestClass
+from plovertrail.decisions.interface import EFFECTS, RequestClass
 
 TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,128}")  # RFC 9110, section 5.6.2
 FIELD_VALUE = re.compile(rb"[!-~]([\t -~]*[!-~])?|")  # hazard: CR and LF would begin a header, or a message
@@ -27,7 +27,6 @@
 MOST_BODY = 4 << 10  # of a refusal
 MOST_LOGS = 4
 LONGEST_LOG = 256
-EFFECTS = ("idempotent", "deduplicated", "at_most_once")  # the stricter the later
 
 
 class BadVerdict(Exception):
@@ -63,8 +62,8 @@
 def at_least_as_strict(kind: RequestClass, base: RequestClass) -> bool:
     """Whether a request of class `base` may be handled as one of `kind` (rule 2). Hazard: a keyed class that
     remembers for longer, or in more places, than the other's servers do would let a repeat run."""
-    if EFFECTS.index(kind.effect) != EFFECTS.index(base.effect):
-        return EFFECTS.index(kind.effect) > EFFECTS.index(base.effect)
+    if kind.effect != base.effect:
+        return EFFECTS.index(kind.effect) > EFFECTS.index(base.effect)  # the stricter the later
     if kind.effect != "deduplicated":
         return True
     return kind.memory_us <= base.memory_us and kind.group == base.group
@@ -135,10 +134,14 @@
         raise BadVerdict("a request that is over has nothing left to change")
 
 
+def named_headers(verdict: Verdict) -> set[bytes]:
+    """The headers that a verdict sets or removes, in lower case."""
+    return {name.lower() for name in (*verdict.remove_headers, *(name for name, _ in verdict.set_headers))}
+
+
 def changed_headers(headers: list[tuple[bytes, bytes]], verdict: Verdict) -> list[tuple[bytes, bytes]]:
     """Headers as a checked verdict leaves them: those that it names go, those that it sets come last."""
-    gone = {name.lower() for name in verdict.remove_headers}
-    gone |= {name.lower() for name, _ in verdict.set_headers}
+    gone = named_headers(verdict)
     return [pair for pair in headers if pair[0].lower() not in gone] + verdict.set_headers
 
 
--- a/plovertrail/hooks/abi.py
+++ b/plovertrail/hooks/abi.py
@@ -16,7 +16,6 @@
 HEAD = struct.Struct("<HHI")
 U32 = struct.Struct("<I")
 MOST_RECORDS = 128  # of a verdict
-MOST_COUNT = 1 << 32
 
 
 class Read(enum.IntEnum):
--- a/plovertrail/hooks/chain.py
+++ b/plovertrail/hooks/chain.py
@@ -21,6 +21,7 @@
     check_answer,
     check_end,
     check_request,
+    named_headers,
 )
 from plovertrail.hooks import abi
 from plovertrail.hooks.abi import Read
@@ -102,8 +103,7 @@
         return [pair for pair in headers if pair[0].lower() not in self.removed] + self.set_headers
 
     def take(self, verdict: Verdict) -> None:
-        gone = {name.lower() for name in verdict.remove_headers}
-        gone |= {name.lower() for name, _ in verdict.set_headers}
+        gone = named_headers(verdict)
         self.removed |= gone
         self.set_headers = [pair for pair in self.set_headers if pair[0].lower() not in gone]
         self.set_headers += verdict.set_headers
--- a/standins/door_model.py
+++ b/standins/door_model.py
@@ -58,8 +58,6 @@
         self.number = 0
         self.asked: dict[int, tuple[Load, str, str, bool]] = {}
         self.answers: Counter[int] = Counter()  # to each request; must be one
-        self.waits_us: list[int] = []
-        self.idle_us = 0  # slots without work while requests waited
         for load in loads:
             if load.closed:
                 for number in range(load.clients):
