--- a/plovertrail/decisions/interface.py
+++ b/plovertrail/decisions/interface.py
@@ -43,7 +43,7 @@
     FAILED = "failed"  # a call failed or the subscription broke; the list stays as it was
 
 
-EFFECTS = ("idempotent", "deduplicated", "at_most_once")  # the stricter the later: decisions/verdicts.py goes by it
+EFFECTS = ("idempotent", "deduplicated", "at_most_once")  # the stricter the later: verdicts go by it
 GROUPS = ("all", "zone", "cell")
 
 
