A drain of two thousand sockets is tested by its close frames, not by connections made

The test counted connections to the stand-in. On a slow machine one handshake of 2,000 was given up at its aim of 1 s and tried again, as it should be, and the count was 2,001. The sockets that were told of the drain are counted now: each with one close frame, 1001.

--- a/tests/fronts/test_sockets.py
+++ b/tests/fronts/test_sockets.py
@@ -928,7 +928,9 @@
             assert codes == [1012] * count
             await closed(site, count)
             assert [socket.cause for socket in site.opened] == [Cause.DRAINED] * count
-            assert len(server.lines) == count
+            # on a slow machine a handshake may be given up at its aim and tried again: no frame comes there
+            told = [line for line in server.lines if line.frames]
+            assert len(told) == count and all([got.code for got in line.frames] == [1001] for line in told)
 
     run(test)
 
