Limits by key: a rate with a burst, and requests at once, by tenant or client

Shares tell who goes first when slots run out; nothing held one tenant or client back before that, and clients behind one proxy had one place together. decisions/limits.py, pure, keeps one time a key (the generic cell rate algorithm) in a table of fixed size, asked in Host.arrived before any pool. Over a limit: 429, Retry-After, and the limit by name. Routes say whose a request is: the connection's address, a trusted proxy's word, or a header.

--- a/plovertrail/cli/route.py
+++ b/plovertrail/cli/route.py
@@ -8,7 +8,7 @@
 
 from plovertrail.cli.files import load_or_exit
 from plovertrail.config import operator
-from plovertrail.decisions.requests import TurnedAway, read_head, route_request, tenant_of
+from plovertrail.decisions.requests import TurnedAway, client_of, read_head, route_request, tenant_of
 
 
 @click.command()
@@ -64,6 +64,9 @@
             click.echo(f"          without {name_.decode()}")
         tenant = tenant_of(won, head, address)
         click.echo(f"tenant    {tenant.decode('latin-1') or '(none)'}")
+        click.echo(f"client    {client_of(won, head, address, b'') or '(none)'}")
+        if won.name in setup.limited:
+            click.echo(f"limiters  {', '.join(setup.limited[won.name])} (nothing is counted here)")
     click.echo("others")
     for other, miss in setup.routes.explain(head):
         if miss is not None:
--- /dev/null
+++ b/plovertrail/config/limiters.py
@@ -0,0 +1,88 @@
+"""The operator's file, `[limiters.NAME]`: what one tenant or client may ask for at most."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from plovertrail.config.problems import Problem, did_you_mean
+from plovertrail.config.tables import duration_us, key_path, read_table
+from plovertrail.decisions.limits import Allowance, KeyedBy, LimiterSettings
+
+MOST_LIMITERS = 32
+MOST_A_ROUTE = 8
+BY_TENANT = (KeyedBy.TENANT, KeyedBy.TENANT_AND_CLIENT)
+
+Rate = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+
+
+class AllowanceTable(msgspec.Struct, kw_only=True):
+    rate_per_s: Rate = 0.0
+    burst: Count = 0
+    concurrent: Count = 0
+
+
+class LimiterTable(msgspec.Struct, kw_only=True):
+    by: Literal["client", "tenant", "tenant+client", "all"]
+    rate_per_s: Rate = 0.0
+    burst: Count = 0
+    concurrent: Count = 0
+    tenants: dict[str, Any] = {}
+    unlisted: Literal["together", "each"] = "together"
+    max_keys: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 4096
+    retry_after: str = "10s"
+    tell: bool = True
+
+
+def read_limiters(raw: Mapping[str, object], tenants: Iterable[str],
+                  problems: list[Problem]) -> dict[str, LimiterSettings]:
+    """All limiters of a file; `tenants` are those that it lists."""
+    listed = frozenset(tenants)
+    if len(raw) > MOST_LIMITERS:
+        problems.append(Problem("limiters", f"{len(raw)} limiters; at most {MOST_LIMITERS} are taken",
+                                "remove some"))
+    return {name: found for name, item in raw.items()
+            if (found := _limiter(name, item, listed, problems)) is not None}
+
+
+def _limiter(name: str, raw: object, listed: frozenset[str],
+             problems: list[Problem]) -> LimiterSettings | None:
+    place = key_path("limiters", name)
+    known = len(problems)
+    table = read_table(LimiterTable, raw, place, problems)
+    if table is None:
+        return None
+    keyed_by = KeyedBy(table.by)
+    if table.tenants and keyed_by not in BY_TENANT:
+        problems.append(Problem(f"{place}.tenants", f'it counts by "{table.by}", which knows no tenants',
+                                'write by = "tenant" or "tenant+client"'))
+    if table.unlisted == "each" and keyed_by not in BY_TENANT:
+        problems.append(Problem(f"{place}.unlisted", f'it counts by "{table.by}", which knows no tenants',
+                                'leave it out, or write by = "tenant" or "tenant+client"'))
+    own = []
+    for tenant, item in table.tenants.items():
+        at = key_path(f"{place}.tenants", tenant)
+        if tenant not in listed:
+            problems.append(Problem(at, f'no tenant is called "{tenant}"', did_you_mean(tenant, listed)))
+        changes = read_table(AllowanceTable, item, at, problems)
+        if changes is not None:
+            own.append((tenant, _allowance(changes, at, problems)))
+    allowance = _allowance(table, place, problems)
+    retry_us = duration_us(table.retry_after, f"{place}.retry_after", problems)
+    if len(problems) > known:
+        return None
+    return LimiterSettings(name, keyed_by, allowance, tuple(own), listed, table.unlisted == "each",
+                           table.max_keys, retry_us, table.tell)
+
+
+def _allowance(table: AllowanceTable | LimiterTable, place: str, problems: list[Problem]) -> Allowance:
+    """Without a burst, what comes in a second may come at once."""
+    if not table.rate_per_s and not table.concurrent:
+        problems.append(Problem(place, "it limits nothing", "write rate_per_s or concurrent, above 0"))
+    if table.burst and not table.rate_per_s:
+        problems.append(Problem(f"{place}.burst", "a burst of no rate", "write rate_per_s as well"))
+    return Allowance(table.rate_per_s, table.burst or max(1, math.ceil(table.rate_per_s)), table.concurrent)
--- a/plovertrail/config/operator.py
+++ b/plovertrail/config/operator.py
@@ -18,16 +18,19 @@
 import msgspec
 import re2
 
+from plovertrail.config import limiters
 from plovertrail.config.hooks import MOST_A_ROUTE, HookSetup, read_hooks
 from plovertrail.config.problems import ConfigError, Problem, did_you_mean
 from plovertrail.config.tables import duration_us, key_path, read_table, size_bytes
 from plovertrail.decisions import sockets
 from plovertrail.decisions.fairness import DoorSettings
 from plovertrail.decisions.interface import RequestClass, Settings, Tenant
+from plovertrail.decisions.limits import LimiterSettings
 from plovertrail.decisions.membership import Entry, Guards
 from plovertrail.decisions.paths import BadTarget, normalise_host, normalise_path
 from plovertrail.decisions.routes import (
     SAFE_METHODS,
+    ClientSource,
     PathKind,
     Predicate,
     Route,
@@ -189,6 +192,8 @@
     set_headers: dict[str, str] = {}
     remove_headers: list[str] = []
     tenant: str | None = None
+    client: str = "address"
+    limiters: list[str] = []
     websocket: str | None = None
     hooks: list[str] = []
     on_hook_fault: Literal["fail", "pass"] = "fail"
@@ -212,6 +217,7 @@
     websockets: dict[str, Any] = {}
     fleet: dict[str, Any] = {}
     hooks: dict[str, Any] = {}
+    limiters: dict[str, Any] = {}
 
 
 # What the daemon is built from
@@ -305,6 +311,8 @@
     fleet: FleetSetup
     hooks: Mapping[str, HookSetup]
     hooked: Mapping[str, HookedRoute]  # by the routes' names; those that have hooks
+    limiters: Mapping[str, LimiterSettings]
+    limited: Mapping[str, tuple[str, ...]]  # the limiters of routes, by the routes' names
 
     def classes_at(self, pool: str) -> list[RequestClass]:
         """Those whose requests may go to a pool."""
@@ -367,7 +375,8 @@
         if whole is None:
             # read on with what there is, so that all problems are told at once
             parts: dict[str, Any] = {"listeners": {}, "pools": {}, "classes": {}, "limits": {}, "tenants": {},
-                                     "daemon": {}, "websockets": {}, "fleet": {}, "hooks": {}, "routes": []}
+                                     "daemon": {}, "websockets": {}, "fleet": {}, "hooks": {}, "limiters": {},
+                                     "routes": []}
             parts |= {key: item for key, item in raw.items() if type(item) is type(parts.get(key))}
             whole = FileTable(**parts)
         limits, instances = self.limits(whole.limits)
@@ -385,6 +394,8 @@
         fleet = self.fleet(whole.fleet, instances, pools)
         hooks = read_hooks(whole.hooks, self.problems)
         self.hooked: dict[str, HookedRoute] = {}
+        limited_by = limiters.read_limiters(whole.limiters, whole.tenants, self.problems)
+        self.limited: dict[str, tuple[str, ...]] = {}
         routes = self.routes(whole.routes, classes, whole)
         if not whole.routes and "routes" in raw:
             self.wrong("routes", "there is no route", "write at least one [[routes]]")
@@ -394,7 +405,7 @@
             return None
         return Setup(self.path, limits, tuple(listeners), pools, tuple(classes.values()), key_headers,
                      tuple(tenants), RouteTable(routes), daemon.state_file, daemon.control_socket,
-                     daemon.socket_log, websockets, fleet, hooks, self.hooked)
+                     daemon.socket_log, websockets, fleet, hooks, self.hooked, limited_by, self.limited)
 
     def name(self, name: str, place: str) -> None:
         if not NAME.fullmatch(name):
@@ -653,10 +664,11 @@
             self.methods(row, at, kind), self.predicates(row.headers, f"{at}.headers", header=True),
             self.predicates(row.query, f"{at}.query", header=False), row.priority, deadline_us,
             self.rewrite(row, at, path_kind, path), self.set_headers(row, at), self.removed(row, at),
-            *self.tenant(row, at), row.websocket or "")
+            *self.tenant(row, at), *self.client(row, at), row.websocket or "")
         if row.websocket is not None:
             self.opens_sockets(row, at, kind, whole)
         self.hooks_of(row, at, classes, whole)
+        self.limits_of(row, at, whole)
         return route if len(self.problems) == known else None
 
     def opens_sockets(self, row: RouteTableRow, at: str, kind: RequestClass | None, whole: FileTable) -> None:
@@ -705,6 +717,22 @@
             self.hooked[row.name] = HookedRoute(tuple(row.hooks), row.on_hook_fault == "pass",
                                                 tuple(row.hook_classes))
 
+    def limits_of(self, row: RouteTableRow, at: str, whole: FileTable) -> None:
+        """The limiters that a route's requests count under."""
+        for number, name in enumerate(row.limiters):
+            place, table = f"{at}.limiters[{number}]", whole.limiters.get(name)
+            if table is None:
+                self.wrong(place, f'no limiter is called "{name}"', did_you_mean(name, whole.limiters))
+            elif name in row.limiters[:number]:
+                self.wrong(place, f'"{name}" is named twice', "name each limiter once")
+            elif isinstance(table, dict) and "tenant" in str(table.get("by")) and row.tenant is None:
+                self.wrong(place, f'limiter "{name}" counts by tenant, and the route says none',
+                           'write tenant = "header:X-Tenant", or a limiter by = "client"')
+        if len(row.limiters) > limiters.MOST_A_ROUTE:
+            self.wrong(f"{at}.limiters", f"more than {limiters.MOST_A_ROUTE}", "keep those that matter")
+        if row.limiters:
+            self.limited[row.name] = tuple(row.limiters)
+
     def websocket(self, name: str, raw: object) -> WebSocket | None:
         place = key_path("websockets", name)
         self.name(name, place)
@@ -856,4 +884,12 @@
                    'write "header:X-Tenant", "host" or "address"')
         return TenantSource.NONE, b""
 
-
+    def client(self, row: RouteTableRow, at: str) -> tuple[ClientSource, bytes]:
+        kind, _, name = row.client.partition(":")
+        if kind == "header" and name:
+            return ClientSource.HEADER, self.header_name(name, f"{at}.client").lower()
+        if row.client in ("address", "forwarded"):
+            return ClientSource(row.client), b""
+        self.wrong(f"{at}.client", f"{row.client!r} is no source of a client",
+                   'write "address", "forwarded" or "header:X-Client"')
+        return ClientSource.ADDRESS, b""
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -21,6 +21,7 @@
 from plovertrail.control import ControlSocket
 from plovertrail.decisions import share
 from plovertrail.decisions.fairness import Door
+from plovertrail.decisions.limits import Limiter
 from plovertrail.decisions.membership import Candidate, State
 from plovertrail.fronts.ordinary import OrdinaryFront
 from plovertrail.fronts.relay import SOCKET_BYTES
@@ -109,6 +110,12 @@
         for name, each in door.shares.items()}
 
 
+def limiter_status(limiter: Limiter) -> dict[str, int]:
+    """What a limit has done since it was made, and its keys."""
+    return {"let_in": limiter.let_in, "over_rate": limiter.over_rate, "over_concurrent": limiter.over_at_once,
+            "keys": len(limiter.entries), "without_place": limiter.without_place}
+
+
 class HookLoader:
     """Brings the engine in when the first hook is configured: it is large, and most daemons have none."""
 
@@ -207,6 +214,7 @@
         self.fleet_watch: FileWatch | None = None
         self.fleet_problem = ""
         self.hooks = HookLoader(clock_us)
+        self.limiters: dict[str, Limiter] = {}
         self.current = Current(Generation(0, setup, {}, {}, {}))
         compiled = self.hooks.prepare(setup)
         self.apply(setup, read_lists(setup, frozenset()), compiled)
@@ -249,8 +257,9 @@
             pools[name] = pool
         self.pools = pools  # till here the old ones, which tell what servers are known already
         modules: dict[str, ServerPool] = {name: pool.pool for name, pool in pools.items()}
+        self._follow_limits(setup)
         self.current.generation = make_generation(self.generation.number + 1, setup, modules,
-                                                  self.hooks.follow(setup, compiled))
+                                                  self.hooks.follow(setup, compiled), self.limiters)
         self._move_listeners(setup, sockets)
         for gone in [*before.values(), *replaced]:
             gone.retire(self.host)
@@ -263,6 +272,17 @@
         self._follow_fleet(setup.fleet)
         self._list_changed()
 
+    def _follow_limits(self, setup: operator.Setup) -> None:
+        """What keys have had counts on under other figures. Hazard: begun anew by every reload, a limit would
+        let each key have its burst again."""
+        before, self.limiters = self.limiters, {}
+        for name, settings in setup.limiters.items():
+            limiter = before.get(name)
+            if limiter is None:
+                limiter = Limiter(settings, random.Random(self.seeds()).random)
+            limiter.configure(settings)
+            self.limiters[name] = limiter
+
     def _follow_fleet(self, setup: operator.FleetSetup) -> None:
         """Count the instances by their list, where there is one; limits.instances holds until it is read."""
         watch = self.fleet_watch
@@ -409,6 +429,7 @@
                 "connections": self.count(), "requests": len(self.host.requests),
                 "sockets": len(self.sockets.relays),
                 "hooks": self.hooks.status(),
+                "limiters": {name: limiter_status(each) for name, each in self.limiters.items()},
                 "state_file": self.keeper.problem or ("kept" if self.keeper.path else "off")}
 
     def count(self) -> int:
--- a/plovertrail/decisions/requests.py
+++ b/plovertrail/decisions/requests.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import ipaddress
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from plovertrail.decisions.paths import BadTarget, normalise_host, normalise_path, split_target
-from plovertrail.decisions.routes import Head, Route, RouteTable, TenantSource, rewritten_path
+from plovertrail.decisions.routes import ClientSource, Head, Route, RouteTable, TenantSource, rewritten_path
 
 IDENT = re.compile(rb"[!-~]{1,128}")
 
@@ -77,6 +78,33 @@
     return b""
 
 
+def client_of(route: Route, head: Head, address: str, trusted: bytes) -> str:
+    """Whose request it is: `address` of its connection, or what its route reads instead. `trusted` names the
+    header in which the proxy in front tells addresses, in lower case; empty: none is trusted."""
+    if route.client_from is ClientSource.HEADER:
+        return head.headers.get(route.client_header, b"").decode("latin-1")
+    if route.client_from is ClientSource.FORWARDED and trusted:
+        return forwarded_by(trusted, head.headers.get(trusted, b"").decode("latin-1")) or address
+    return address
+
+
+def forwarded_by(header: bytes, value: str) -> str:
+    """The address that the nearest proxy wrote, the last one (RFC 7239, section 4, or X-Forwarded-For); empty
+    if it is none. Hazard: all before it may be the client's own invention."""
+    last = value.rpartition(",")[2].strip()
+    if header == b"forwarded":
+        pairs = (pair.partition("=") for pair in last.split(";"))
+        last = next((text.strip() for name, _, text in pairs if name.strip().lower() == "for"), "").strip('"')
+        if last.startswith("["):
+            last = last[1:].partition("]")[0]
+        elif last.count(":") == 1:
+            last = last.partition(":")[0]
+    try:
+        return str(ipaddress.ip_address(last))
+    except ValueError:
+        return ""
+
+
 def deadline_us(own: bytes | None, longest_us: int) -> int:
     """How long a client waits: its own word, in whole milliseconds, may shorten the route's; raises
     TurnedAway."""
--- a/plovertrail/decisions/routes.py
+++ b/plovertrail/decisions/routes.py
@@ -38,6 +38,14 @@
     ADDRESS = "address"
 
 
+class ClientSource(enum.Enum):
+    """Where it is read whose request it is, for shares and limits."""
+
+    ADDRESS = "address"
+    FORWARDED = "forwarded"  # the address that a trusted proxy in front tells; else that of the connection
+    HEADER = "header"
+
+
 @dataclass(frozen=True, slots=True)
 class Predicate:
     """Of a header or query parameter: it is there and, unless `value` is None, has this value."""
@@ -66,6 +74,8 @@
     remove_headers: frozenset[bytes] = frozenset()  # in lower case
     tenant_from: TenantSource = TenantSource.NONE
     tenant_header: bytes = b""
+    client_from: ClientSource = ClientSource.ADDRESS
+    client_header: bytes = b""
     websocket: str = ""  # the name of the limits of its sockets; empty: it opens none
 
     def rank(self, place: int) -> tuple[int, ...]:
--- a/plovertrail/exchange.py
+++ b/plovertrail/exchange.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from plovertrail.decisions import interface as api
+from plovertrail.decisions.limits import OverLimit
 
 
 class Handshake(Protocol):
@@ -58,7 +59,7 @@
     host: bytes = b""  # for the upstream; empty: its address
     handshake: Handshake | None = None
     tenant_name: str = ""
-    client: str = ""  # the client's address
+    client: str = ""  # whose it is; the client's address where its route says nothing else
 
 
 class Verdict(enum.Enum):
@@ -76,6 +77,7 @@
     verdict: Verdict
     retry_after_us: int = 0
     result: Result | None = None  # of the last attempt, if there was one
+    over: OverLimit | None = None  # the limit that refused it
 
 
 @dataclass(slots=True)
--- a/plovertrail/fronts/ordinary.py
+++ b/plovertrail/fronts/ordinary.py
@@ -10,10 +10,12 @@
 from plovertrail.clock import clock_us
 from plovertrail.config import operator
 from plovertrail.decisions.interface import Outcome
+from plovertrail.decisions.limits import OverLimit, limit_header, policy_header
 from plovertrail.decisions.requests import (
     IDENT,
     TurnedAway,
     checked_key,
+    client_of,
     deadline_us,
     read_head,
     route_request,
@@ -52,6 +54,13 @@
     return [(b"Retry-After", b"%d" % -(-after_us // 1_000_000))] if after_us else []
 
 
+def over_limit(over: OverLimit) -> Headers:
+    """When to come back, and which limit it was, where its operator tells that."""
+    named = [(b"RateLimit-Policy", policy_header(over).encode()),
+             (b"RateLimit", limit_header(over).encode())] if over.limiter.told else []
+    return retry_after(over.retry_after_us) + named
+
+
 class OrdinaryClient(ClientConnection):
     """One connection of a client. Pipelined requests are served one after the other, in their order."""
 
@@ -151,7 +160,7 @@
             self.reject(500, "this request could not be taken", last=True)
         else:
             self.plan = plan
-            self.ident = self.front.host.arrived(call, self.answer, plan.pools)
+            self.ident = self.front.host.arrived(call, self.answer, plan.pools, plan.limiters)
 
     def call(self, message: RequestMessage) -> tuple[Call, Plan]:
         """The request as it goes on; raises TurnedAway, BadHandshake, TurnedAwayNow or Refused."""
@@ -183,6 +192,7 @@
         ident = headers.get(listener.request_id_header.lower(), b"")
         if not IDENT.fullmatch(ident):
             ident = os.urandom(16).hex().encode()
+        trusted = listener.forwarded.encode() if listener.trust_forwarded else b""
         kept = end_to_end(message.headers, plan.dropped | front.dropped)
         if trail is not None:
             kept = trail.changes.apply(kept)
@@ -203,7 +213,8 @@
         return Call(message.method, routed.target, kept, message.body, arrived_us, wait_us, plan.class_index,
                     ident, tenant, hash(key) & 0xFFFF_FFFF_FFFF_FFFF if key else 0,
                     host=plan.set_host or authority, handshake=self.socket,
-                    tenant_name=tenant_name.decode("latin-1"), client=self.peer()), plan
+                    tenant_name=tenant_name.decode("latin-1"),
+                    client=client_of(routed.route, head, self.peer(), trusted)), plan
 
     def peer(self) -> str:
         """The client's address."""
@@ -252,6 +263,8 @@
                             outcome=FAILED)
             else:
                 self.pass_on(status, result, FAILED)
+        elif answer.over is not None:
+            self.reject(429, "refused: over a limit; nothing has run", extra=over_limit(answer.over))
         elif answer.verdict is Verdict.REFUSED:
             self.reject_for_now("refused: nothing has run that may not run again", answer.retry_after_us)
         elif result is None or result.outcome is Outcome.TIMEOUT:
--- a/plovertrail/generation.py
+++ b/plovertrail/generation.py
@@ -8,6 +8,7 @@
 
 from plovertrail.config.operator import Listener, Setup, WebSocket
 from plovertrail.decisions.interface import RequestClass
+from plovertrail.decisions.limits import Limiter
 from plovertrail.decisions.routes import Route
 from plovertrail.hooks.chain import Chain, make_chain
 from plovertrail.host import ServerPool
@@ -30,6 +31,7 @@
     set_host: bytes  # empty: the client's
     set_headers: tuple[tuple[bytes, bytes], ...]
     websocket: WebSocket | None = None
+    limiters: tuple[Limiter, ...] = ()
     chain: Chain | None = None  # its hooks
     chosen: Mapping[str, Plan] = field(default_factory=dict)  # as its hooks may have it, by class
 
@@ -59,8 +61,8 @@
 
 
 def make_generation(number: int, setup: Setup, pools: Mapping[str, ServerPool],
-                    hooks: Mapping[str, Hook]) -> Generation:
-    """Lay out a setup for requests; `pools` has one for each of its pools, `hooks` one for each hook."""
+                    hooks: Mapping[str, Hook], limiters: Mapping[str, Limiter]) -> Generation:
+    """Lay out a setup for requests; `pools`, `hooks` and `limiters` have one for each of its own."""
     plans = {}
     for route in setup.routes.routes:
         index = setup.class_index(route.class_name)
@@ -71,7 +73,8 @@
         plan = Plan(
             route, tuple(pools[name] for name in route.pools), index, kind, setup.key_headers[index].lower(),
             route.deadline_us or kind.deadline_us, dropped | {b"host", b"expect", b"x-deadline-ms"},
-            hosts[-1] if hosts else b"", others, setup.websockets.get(route.websocket))
+            hosts[-1] if hosts else b"", others, setup.websockets.get(route.websocket),
+            tuple(limiters[name] for name in setup.limited.get(route.name, ())))
         if route.name in setup.hooked:
             plan = with_hooks(plan, setup, hooks)
         plans[route.name] = plan
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -19,6 +19,7 @@
 from plovertrail.decisions.balance import Balancer, Reissues
 from plovertrail.decisions.failover import Standing, kept_attempts, next_pool
 from plovertrail.decisions.fairness import Action, Admitted, Door, DoorSettings
+from plovertrail.decisions.limits import Limiter, OverLimit, Permit, admit
 from plovertrail.decisions.share import Subset
 from plovertrail.exchange import Answer, Call, Flight, Handshake, Result, Upstreams, Verdict
 
@@ -164,6 +165,7 @@
     last: Result | None = None  # of the attempt that ended last
     attempts: list[Attempt] = field(default_factory=list)
     timer: asyncio.TimerHandle | None = None
+    permits: Sequence[Permit] = ()  # of the limits that it counts under
     over: bool = False  # it has had its final answer, or the client has gone
 
 
@@ -206,7 +208,8 @@
                 self._tell(pool, api.RequestGone(request.ident))
                 self._given_up(request, Answer(Verdict.REFUSED, self._retry_after_us(pool)))
 
-    def arrived(self, call: Call, reply: Callable[[Answer], None], pools: Sequence[ServerPool]) -> int:
+    def arrived(self, call: Call, reply: Callable[[Answer], None], pools: Sequence[ServerPool],
+                limiters: Sequence[Limiter] = ()) -> int:
         """A request has been taken; `reply` is called once with its answer unless the client goes first."""
         self.last_ident += 1
         due_us = call.arrived_us + max(1, call.deadline_us - ANSWER_MARGIN_US)
@@ -214,6 +217,12 @@
         self.requests[request.ident] = request
         # hazard: whatever becomes of the module's own timers, no client is left without an answer
         request.timer = self._at(due_us + BACKSTOP_US, self._overdue, request)
+        if limiters:
+            found = admit(limiters, call.tenant_name, call.client, clock_us())
+            if isinstance(found, OverLimit):
+                self._answer(request.ident, Answer(Verdict.REFUSED, found.retry_after_us, over=found))
+                return request.ident
+            request.permits = found
         self._given_up(request, Answer(Verdict.REFUSED, self._retry_after_us(pools[0])))
         return request.ident
 
@@ -504,6 +513,8 @@
         over = request.over and all(attempt.ended for attempt in request.attempts)
         if over and self.requests.pop(request.ident, None) is not None:
             self._leave_door(request)
+            for permit in request.permits:
+                permit.limiter.ended(permit, clock_us())
 
     # Attempts
 
--- a/tests/config/test_docs.py
+++ b/tests/config/test_docs.py
@@ -10,6 +10,7 @@
 
 from plovertrail.config import operator
 from plovertrail.config.hooks import HookTable
+from plovertrail.config.limiters import LimiterTable
 
 PAGE = (Path(__file__).resolve().parents[2] / "docs" / "operator.md").read_text()
 SECTIONS: dict[str, type[msgspec.Struct]] = {
@@ -60,6 +61,18 @@
     assert not told
 
 
+def test_every_key_of_limiters_is_on_the_page_of_shares() -> None:
+    page = (Path(__file__).resolve().parents[2] / "docs" / "fair.md").read_text()
+    text = page.split("## Limits: `[limiters.NAME]`")[1].split("\n## ")[0]
+    told = dict(re.findall(r"^\| `([a-z_]+)` \| `?\"?([^`\"|]+?)\"?`? \|", text, re.M))
+    fields = {field.name: field.default for field in msgspec.structs.fields(LimiterTable)}
+    assert set(told) == set(fields)
+    for name, default in fields.items():
+        if isinstance(default, str | int | float):
+            assert told[name] == (default if isinstance(default, str) else f"{default:g}" if
+                                  not isinstance(default, bool) else str(default).lower()), name
+
+
 def test_every_guard_is_on_the_page_of_lists() -> None:
     page = (Path(__file__).resolve().parents[2] / "docs" / "lists.md").read_text()
     text = page.split("## Guards")[1].split("\n## ")[0]
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -47,6 +47,8 @@
 pools = ["main"]
 """
 
+LAST_ROUTE = 'class = "read"\npools = ["main"]\n'
+
 # what to replace in a good file, and what must be said of the result
 BROKEN: dict[str, tuple[str, str, str]] = {
     "no TOML": ("[limits]", "[limits", "not TOML"),
@@ -58,6 +60,56 @@
         'limits.max_bodies: unknown key; did you mean "max_body"?',
     ),
     "a wrong type": ('name = "rest"', "name = 7", "routes[1].name: expected `str`, got `int`, got 7"),
+    "a limiter of nothing": (
+        "[limits]",
+        '[limiters.a]\nby = "client"\n[limits]',
+        "limiters.a: it limits nothing; write rate_per_s or concurrent, above 0",
+    ),
+    "a limiter by what isn't known": (
+        "[limits]",
+        '[limiters.a]\nby = "host"\nrate_per_s = 1\n[limits]',
+        "limiters.a.by: invalid enum value 'host'",
+    ),
+    "a limiter with a burst of no rate": (
+        "[limits]",
+        '[limiters.a]\nby = "all"\nconcurrent = 1\nburst = 2\n[limits]',
+        "limiters.a.burst: a burst of no rate",
+    ),
+    "a limiter by client that names tenants": (
+        "[limits]",
+        '[limiters.a]\nby = "client"\nrate_per_s = 1\n[limiters.a.tenants.x]\nrate_per_s = 1\n[limits]',
+        'limiters.a.tenants: it counts by "client", which knows no tenants',
+    ),
+    "a limiter with a tenant that isn't listed": (
+        "[limits]",
+        '[limiters.a]\nby = "tenant"\nrate_per_s = 1\n[limiters.a.tenants.x]\nrate_per_s = 1\n[limits]',
+        'limiters.a.tenants.x: no tenant is called "x"',
+    ),
+    "a limiter by client with unlisted tenants": (
+        "[limits]",
+        '[limiters.a]\nby = "client"\nrate_per_s = 1\nunlisted = "each"\n[limits]',
+        "limiters.a.unlisted: it counts by",
+    ),
+    "a limiter that isn't there": (
+        'name = "rest"',
+        'name = "rest"\nlimiters = ["a"]',
+        'routes[1] ("rest").limiters[0]: no limiter is called "a"',
+    ),
+    "a limiter twice on a route": (
+        LAST_ROUTE,
+        LAST_ROUTE + 'limiters = ["a", "a"]\n[limiters.a]\nby = "all"\nrate_per_s = 1\n',
+        'routes[1] ("rest").limiters[1]: "a" is named twice',
+    ),
+    "a limiter by tenant on a route with none": (
+        LAST_ROUTE,
+        LAST_ROUTE + 'limiters = ["a"]\n[limiters.a]\nby = "tenant"\nrate_per_s = 1\n',
+        'routes[1] ("rest").limiters[0]: limiter "a" counts by tenant, and the route says none',
+    ),
+    "a client from nowhere": (
+        'name = "rest"',
+        'name = "rest"\nclient = "cookie"',
+        "routes[1] (\"rest\").client: 'cookie' is no source of a client",
+    ),
     "a hook with no file": ("[limits]", "[hooks.a]\n[limits]", "hooks.a: the key file is missing"),
     "a hook with an empty file": ("[limits]", '[hooks.a]\nfile = ""\n[limits]', "hooks.a.file: empty"),
     "a hook with too little fuel": (
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,221 @@
+"""Limits by key in a daemon: who is refused, what is told, and when a place is free again."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from standins.live import LiveServer
+from standins.web import OK, Arrival, Line, WebServer
+from tests.daemons import message, run, running
+from tests.net import until
+from tests.websocket_site import ROUTES as LIVE_ROUTES
+from tests.websocket_site import live_site
+
+TENANTS = "".join(f"[tenants.{name}]\nallowance_per_s = 10\n" for name in ("big", "small"))
+ROUTES = """
+[[routes]]
+name = "all"
+class = "buy"
+pools = ["main"]
+tenant = "header:X-Tenant"
+client = "{client}"
+limiters = ["it"]
+"""
+SLOW = "rate_per_s = 0.01\nburst = 2"  # none comes free while a test runs
+
+
+def limiter(by: str, text: str) -> str:
+    return f'{TENANTS}[limiters.it]\nby = "{by}"\n{text}\n'
+
+
+def routes(client: str = "address") -> str:
+    return ROUTES.replace("{client}", client)
+
+
+def buy(*headers: str) -> bytes:
+    return message("POST /buy", *headers, body=b"coins")
+
+
+class Held:
+    """A server that keeps each request until it is let go."""
+
+    def __init__(self) -> None:
+        self.release = asyncio.Semaphore(0)
+        self.server = WebServer(self.script)
+
+    async def script(self, server: WebServer, arrival: Arrival, line: Line) -> bytes:
+        await self.release.acquire()
+        return OK
+
+
+def test_over_its_rate_a_client_is_told_which_limit_and_when(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = WebServer()
+        head = limiter("client", SLOW + '\nretry_after = "90s"')
+        async with running(tmp_path, {"main": [server]}, routes=routes(), head=head) as it:
+            client = await it.connect()
+            found = [await client.ask(buy()) for _ in range(5)]
+            assert [reply.status for reply in found] == [200, 200, 429, 429, 429]
+            over = found[2]
+            assert over.all("RateLimit-Policy") == ['"it";q=2;w=200']
+            assert over.all("RateLimit") == [f'"it";r=0;t={over.all("Retry-After")[0]}']
+            assert 60 < int(over.all("Retry-After")[0]) <= 90 and b"nothing has run" in over.body
+            assert server.count == 2
+            client.close()
+            figures = it.daemon.status()["limiters"]["it"]
+            assert figures == {"let_in": 2, "over_rate": 3, "over_concurrent": 0, "keys": 1,
+                               "without_place": 0}
+            assert not it.daemon.host.requests
+
+    run(test)
+
+
+def test_a_limit_may_go_unnamed(tmp_path: Path) -> None:
+    async def test() -> None:
+        head = limiter("all", SLOW.replace("2", "1") + "\ntell = false")
+        async with running(tmp_path, {"main": [WebServer()]}, routes=routes(), head=head) as it:
+            assert (await it.ask(buy())).status == 200
+            over = await it.ask(buy())
+            assert over.status == 429 and over.all("Retry-After") and not over.all("RateLimit")
+            assert not over.all("RateLimit-Policy")
+
+    run(test)
+
+
+def test_a_place_at_once_is_free_again_when_the_request_is_over(tmp_path: Path) -> None:
+    async def test() -> None:
+        held = Held()
+        async with running(tmp_path, {"main": [held.server]}, routes=routes(),
+                           head=limiter("tenant", "concurrent = 1")) as it:
+            first = await it.connect()
+            first.writer.write(buy("X-Tenant: big"))
+            await until(lambda: held.server.count == 1)
+            assert (await it.ask(buy("X-Tenant: big"))).status == 429
+            other = await it.connect()
+            other.writer.write(buy("X-Tenant: small"))
+            await until(lambda: len(it.daemon.host.requests) == 2)
+            held.release.release()
+            assert (await first.reply()).status == 200
+            held.release.release()
+            assert (await other.reply()).status == 200
+            held.release.release()
+            assert (await it.ask(buy("X-Tenant: big"))).status == 200
+            first.close()
+            other.close()
+            assert it.daemon.status()["limiters"]["it"]["over_concurrent"] == 1
+
+    run(test)
+
+
+def test_a_client_that_leaves_gives_its_place_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        held = Held()
+        async with running(tmp_path, {"main": [held.server]}, routes=routes(),
+                           head=limiter("client", "concurrent = 1")) as it:
+            first = await it.connect()
+            first.writer.write(buy())
+            await until(lambda: held.server.count == 1)
+            first.close()
+            entries = it.daemon.limiters["it"].entries
+            await until(lambda: all(entry.at_once == 0 for entry in entries.values()))
+            held.release.release()
+            held.release.release()
+            assert (await it.ask(buy())).status == 200
+
+    run(test)
+
+
+def test_a_refused_request_is_over_though_no_server_was_asked(tmp_path: Path) -> None:
+    """One that the pool refuses gives its place back as well."""
+
+    async def test() -> None:
+        async with running(tmp_path, {"main": []}, routes=routes(),
+                           head=limiter("all", "concurrent = 1")) as it:
+            for _ in range(3):
+                assert (await it.ask(buy())).status == 503
+            assert [entry.at_once for entry in it.daemon.limiters["it"].entries.values()] == [0]
+
+    run(test)
+
+
+@pytest.mark.parametrize(("client", "listener", "header"), [
+    ("header:X-Client", "", "X-Client: {}"),
+    ("forwarded", 'forwarded = "x-forwarded-for"\ntrust_forwarded = true',
+     "X-Forwarded-For: 203.0.113.9, 198.51.100.{}"),
+])
+def test_clients_behind_one_address_have_a_place_each(client: str, listener: str, header: str,
+                                                      tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path, {"main": [WebServer()]}, routes=routes(client), listener=listener,
+                           head=limiter("client", SLOW)) as it:
+            for number in range(3):
+                found = [(await it.ask(buy(header.format(number)))).status for _ in range(3)]
+                assert found == [200, 200, 429]
+
+    run(test)
+
+
+def test_a_client_s_own_word_of_its_address_is_not_taken(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path, {"main": [WebServer()]}, routes=routes("forwarded"),
+                           listener='forwarded = "x-forwarded-for"', head=limiter("client", SLOW)) as it:
+            found = [(await it.ask(buy(f"X-Forwarded-For: 198.51.100.{n}"))).status for n in range(4)]
+            assert found == [200, 200, 429, 429]
+
+    run(test)
+
+
+def test_a_reload_gives_no_key_its_burst_again(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path, {"main": [WebServer()]}, routes=routes(),
+                           head=limiter("client", SLOW)) as it:
+            assert [(await it.ask(buy())).status for _ in range(3)] == [200, 200, 429]
+            assert await it.change(it.path.read_text() + "\n# the same again")
+            assert (await it.ask(buy())).status == 429
+            assert await it.change(it.path.read_text().replace("burst = 2", "burst = 3"))
+            assert [(await it.ask(buy())).status for _ in range(2)] == [200, 429]
+            assert not await it.change(it.path.read_text().replace('by = "client"', 'by = "cleint"'))
+            assert (await it.ask(buy())).status == 429
+            assert await it.change(it.path.read_text().replace("cleint", "client")
+                                   .replace('limiters = ["it"]', ""))
+            assert (await it.ask(buy())).status == 200
+
+    run(test)
+
+
+def test_a_request_that_is_open_over_a_reload_gives_its_place_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        held = Held()
+        async with running(tmp_path, {"main": [held.server]}, routes=routes(),
+                           head=limiter("client", "concurrent = 1")) as it:
+            first = await it.connect()
+            first.writer.write(buy())
+            await until(lambda: held.server.count == 1)
+            assert await it.change(it.path.read_text() + "\n# the same again")
+            assert (await it.ask(buy())).status == 429
+            for _ in range(2):
+                held.release.release()
+            assert (await first.reply()).status == 200
+            assert (await it.ask(buy())).status == 200
+            first.close()
+
+    run(test)
+
+
+def test_handshakes_count_and_sockets_hold_no_place(tmp_path: Path) -> None:
+    async def test() -> None:
+        head = '\n[limiters.it]\nby = "client"\nrate_per_s = 0.01\nburst = 5\nconcurrent = 1\n'
+        routed = LIVE_ROUTES + 'limiters = ["it"]\n' + head
+        async with live_site(tmp_path, [LiveServer()], routes=routed) as it:
+            clients = [await it.connect() for _ in range(6)]
+            found = []
+            for client in clients:  # while those before it are open
+                found.append(await client.ask_socket("/"))
+            assert found == [101] * 5 + [429]
+            for client in clients:
+                client.close()
+
+    run(test)
