Routes answer by themselves, take some listeners and bodies only, and fill headers in

What moves from nginx needs redirects and fixed answers, listeners with routes of their own, texts that a path must or must not begin with, hosts with a wildcard at the end or as regular expressions, a body's bound for each route, and headers that tell of the request. All of it is decided in routes.py and templates.py, pure; a route that answers by itself sends nothing to a pool, and a redirect is the one final answer as a 404 is.

--- a/plovertrail/cli/route.py
+++ b/plovertrail/cli/route.py
@@ -8,7 +8,7 @@
 
 from plovertrail.cli.files import load_or_exit
 from plovertrail.config import operator
-from plovertrail.decisions.requests import TurnedAway, client_of, read_head, route_request, tenant_of
+from plovertrail.decisions.requests import TurnedAway, client_of, read_head, route_request, tenant_of, told_by
 
 
 @click.command()
@@ -16,8 +16,9 @@
 @click.argument("method")
 @click.argument("url")
 @click.option("-H", "--header", "headers", multiple=True, help="A header of the request, as 'name: value'.")
+@click.option("--listener", default="", help="The listener that it comes to; else no route that names one.")
 @click.option("--from", "address", default="192.0.2.1", show_default=True, help="The client's address.")
-def route(file: str, method: str, url: str, headers: tuple[str, ...], address: str) -> None:
+def route(file: str, method: str, url: str, headers: tuple[str, ...], listener: str, address: str) -> None:
     """Say which route of FILE takes a request, what becomes of it, and why each other route lost. Sends
     nothing. Exits with 1 if no route takes it."""
     setup = load_or_exit(file)
@@ -33,7 +34,7 @@
             hosts.append(plain)
     try:
         version = "1.1" if hosts else "1.0"
-        head, path, authority = read_head(method.encode(), url.encode(), version, hosts, found)
+        head, path, authority = read_head(method.encode(), url.encode(), version, hosts, found, listener)
     except TurnedAway as away:
         click.echo(f"answered {away.status}: {away.why}")
         sys.exit(1)
@@ -47,6 +48,11 @@
     else:
         taken = True
         won = routed.route
+        if won.answers is not None:
+            told = told_by(head, path, authority, url.encode(), address, address, b"", 0, won)
+            where = won.answers.location.filled(told) if won.answers.location is not None else ""
+            click.echo(f"route     {won.name}\nanswers   {won.answers.status} {where}".rstrip())
+            return
         effects = {ours: word for word, ours in operator.EFFECTS.items()}
         kind = setup.classes[setup.class_index(won.class_name)]
         deadline_ms = (won.deadline_us or kind.deadline_us) / 1000
@@ -60,6 +66,8 @@
             click.echo(f"hooks     {', then '.join(hooked.hooks)} (without one it {policy}; not asked here)")
         for name_, value_ in won.set_headers:
             click.echo(f"          {name_.decode()}: {value_.decode()}")
+        for name_, template in won.filled_headers:
+            click.echo(f"          {name_.decode()}: {template.text}")
         for name_ in sorted(won.remove_headers):
             click.echo(f"          without {name_.decode()}")
         tenant = tenant_of(won, head, address)
--- a/plovertrail/config/operator.py
+++ b/plovertrail/config/operator.py
@@ -12,6 +12,7 @@
 import re
 import tomllib
 from collections.abc import Mapping
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Annotated, Any, Literal
 
@@ -31,6 +32,7 @@
 from plovertrail.decisions.routes import (
     SAFE_METHODS,
     ClientSource,
+    FixedAnswer,
     PathKind,
     Predicate,
     Route,
@@ -39,6 +41,7 @@
     unreachable,
 )
 from plovertrail.decisions.share import Bounds, Fleet
+from plovertrail.decisions.templates import NAMES, Template, parse_template
 from plovertrail.decisions.verdicts import at_least_as_strict
 
 LARGEST_FILE = 16 << 20
@@ -56,6 +59,10 @@
 Worth = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 
 
+Plain = tuple[tuple[bytes, bytes], ...]  # headers with their values
+Filled = tuple[tuple[bytes, Template], ...]
+
+
 # The file as it is written. The defaults are told, with their reasons, in docs/operator.md.
 
 
@@ -175,19 +182,31 @@
     close_timeout: str = "5s"
 
 
+class RespondTable(msgspec.Struct, kw_only=True):
+    status: Annotated[int, msgspec.Meta(ge=200, le=599)]
+    location: str | None = None
+    body: str | None = None
+    content_type: str = "text/plain"
+
+
 class RouteTableRow(msgspec.Struct, kw_only=True, rename={"class_name": "class"}):
     name: str
-    pools: Annotated[list[str], msgspec.Meta(min_length=1, max_length=8)]
-    class_name: str
+    pools: Annotated[list[str], msgspec.Meta(max_length=8)] = []
+    class_name: str = ""
+    respond: dict[str, Any] | None = None
+    listeners: list[str] = []
     hosts: list[str] = []
     path: str | None = None
     path_exact: str | None = None
     path_regex: str | None = None
+    path_within: str = ""
+    path_except: list[str] = []
     methods: list[str] = []
     headers: dict[str, str | bool] = {}
     query: dict[str, str | bool] = {}
-    priority: Annotated[int, msgspec.Meta(ge=-1000, le=1000)] = 0
+    priority: Annotated[int, msgspec.Meta(ge=-1_000_000, le=1_000_000)] = 0
     deadline: str | None = None
+    max_body: str | None = None
     rewrite: str | None = None
     set_headers: dict[str, str] = {}
     remove_headers: list[str] = []
@@ -649,7 +668,12 @@
             elif pool in row.pools[:number]:
                 self.wrong(f"{at}.pools[{number}]", f'"{pool}" is named twice', "name each pool once")
         kind = classes.get(row.class_name)
-        if kind is None:
+        if row.respond is not None:
+            self.answers_itself(row, at)
+        elif not row.pools or not row.class_name:
+            missing = "pools" if not row.pools else "class"
+            self.wrong(at, f"the key {missing} is missing", f"write {missing} = ..., or respond = {{ ... }}")
+        elif kind is None:
             self.wrong(f"{at}.class", f'no class is called "{row.class_name}"',
                        did_you_mean(row.class_name, classes))
         path_kind, path = self.path_of(row, at)
@@ -659,18 +683,92 @@
             if kind is not None and deadline_us > kind.deadline_us:
                 self.wrong(f"{at}.deadline", f'longer than that of class "{kind.name}"',
                            "write a shorter one, or a class of its own")
+        for number, name in enumerate(row.listeners):
+            if name not in whole.listeners:
+                self.wrong(f"{at}.listeners[{number}]", f'no listener is called "{name}"',
+                           did_you_mean(name, whole.listeners))
+        max_body = None if row.max_body is None else size_bytes(row.max_body, f"{at}.max_body", self.problems,
+                                                                0, 64 << 20)
+        plain, filled = self.set_headers(row, at, path_kind, path)
+        tenant_from, tenant_header = self.tenant(row, at)
+        client_from, client_header = self.client(row, at)
         route = Route(
             row.name, tuple(row.pools), row.class_name, self.hosts(row, at), path_kind, path,
             self.methods(row, at, kind), self.predicates(row.headers, f"{at}.headers", header=True),
             self.predicates(row.query, f"{at}.query", header=False), row.priority, deadline_us,
-            self.rewrite(row, at, path_kind, path), self.set_headers(row, at), self.removed(row, at),
-            *self.tenant(row, at), *self.client(row, at), row.websocket or "")
+            self.rewrite(row, at, path_kind, path), plain, filled, self.removed(row, at), tenant_from,
+            tenant_header, client_from, client_header, row.websocket or "", frozenset(row.listeners),
+            self.beginning(row.path_within, f"{at}.path_within") if row.path_within else "",
+            tuple(self.beginning(text, f"{at}.path_except[{number}]")
+                  for number, text in enumerate(row.path_except)),
+            max_body, self.fixed_answer(row, at, path_kind, path))
         if row.websocket is not None:
             self.opens_sockets(row, at, kind, whole)
         self.hooks_of(row, at, classes, whole)
         self.limits_of(row, at, whole)
         return route if len(self.problems) == known else None
 
+    def answers_itself(self, row: RouteTableRow, at: str) -> None:
+        """What a route that sends its requests nowhere can't have."""
+        for key in ("pools", "hooks", "hook_classes", "limiters", "websocket", "deadline", "rewrite",
+                    "tenant", "set_headers", "remove_headers"):
+            if getattr(row, key):
+                self.wrong(f"{at}.{key}", "its requests go to no server, as it has respond",
+                           f"leave {key} or respond out")
+        if row.class_name:
+            self.wrong(f"{at}.class", "its requests go to no server, as it has respond",
+                       "leave class or respond out")
+
+    def fixed_answer(self, row: RouteTableRow, at: str, kind: PathKind, path: str) -> FixedAnswer | None:
+        if row.respond is None:
+            return None
+        place = f"{at}.respond"
+        table = read_table(RespondTable, row.respond, place, self.problems)
+        if table is None:
+            return None
+        if table.location is not None and not 300 <= table.status < 400 and table.status != 201:
+            self.wrong(f"{place}.location", f"status {table.status} leads nowhere",
+                       "write a status from 300 to 399, or 201")
+        if table.status in (301, 302, 303, 307, 308) and table.location is None:
+            self.wrong(place, f"status {table.status} with no location",
+                       'write location = "https://{host}{uri}", or another status')
+        if table.body and table.status in (204, 304):
+            self.wrong(f"{place}.body", f"status {table.status} has no body", "leave it out")
+        if not FIELD_VALUE.fullmatch(table.content_type):
+            self.wrong(f"{place}.content_type", "the value is not plain text", "write printable ASCII")
+        location = body = None
+        if table.location is not None:
+            location = self.template(table.location, f"{place}.location", kind, path)
+            if not FIELD_VALUE.fullmatch(table.location):
+                self.wrong(f"{place}.location", "the value is not plain text", "write printable ASCII")
+        if table.body is not None:
+            body = self.template(table.body, f"{place}.body", kind, path)
+        return FixedAnswer(table.status, location, body, table.content_type)
+
+    def template(self, text: str, place: str, kind: PathKind, path: str) -> Template:
+        """A text with places for what a request tells."""
+        try:
+            made = parse_template(text)
+        except ValueError as error:
+            self.wrong(place, str(error), "write one of " + ", ".join(f"{{{name}}}" for name in sorted(NAMES))
+                       + ", or {{ and }} for braces")
+            return Template(())
+        groups = 0
+        if kind is PathKind.REGEX:
+            with suppress(re2.error):  # told already
+                groups = re2.compile(path).groups
+        if any(name.isdigit() and int(name) > groups for name in made.names):
+            self.wrong(place, "names a group that the route's path doesn't have",
+                       "write {1} for the first group in parentheses of path_regex")
+        return made
+
+    def beginning(self, text: str, place: str) -> str:
+        """What paths begin with, as rules see them; it may end within a segment."""
+        closed = self.normal(text, place)
+        if text.endswith("/") and not closed.endswith("/"):
+            closed += "/"
+        return closed
+
     def opens_sockets(self, row: RouteTableRow, at: str, kind: RequestClass | None, whole: FileTable) -> None:
         """Whether a route whose requests may become sockets has all that they need."""
         place = f"{at}.websocket"
@@ -795,6 +893,13 @@
         found = []
         for number, text in enumerate(row.hosts):
             place = f"{at}.hosts[{number}]"
+            if text == "*" or text.startswith("~"):
+                if text.startswith("~"):
+                    self.checked_regex(text[1:], place)
+                found.append("" if text == "*" else text)
+                continue
+            trails = text.endswith(".*") and not text.startswith("*.")
+            text = text.removesuffix(".*") if trails else text
             wild, plain = ("*.", text[2:]) if text.startswith("*.") else ("", text)
             try:
                 host = normalise_host(plain.encode("idna") if not plain.isascii() else plain.encode())
@@ -804,9 +909,10 @@
                 self.wrong(place, f"{text!r} is no host",
                            'write a name with no port, as "shop.example" or "*.example"')
                 continue
-            if wild + host in found:
+            host = wild + host + (".*" if trails else "")
+            if host in found:
                 self.wrong(place, f"{text!r} is named twice", "name each host once")
-            found.append(wild + host)
+            found.append(host)
         return tuple(found)
 
     def methods(self, row: RouteTableRow, at: str, kind: RequestClass | None) -> frozenset[str]:
@@ -851,15 +957,20 @@
             return self.normal(row.rewrite, place)
         return row.rewrite
 
-    def set_headers(self, row: RouteTableRow, at: str) -> tuple[tuple[bytes, bytes], ...]:
-        found = []
+    def set_headers(self, row: RouteTableRow, at: str, kind: PathKind, path: str) -> tuple[Plain, Filled]:
+        """Those with the same value for all requests, and those that are filled with what one tells."""
+        plain, filled = [], []
         for name, value in row.set_headers.items():
             place = key_path(f"{at}.set_headers", name)
             self.own_header(name, place)
             if not FIELD_VALUE.fullmatch(value):
                 self.wrong(place, "the value is not plain text", "write printable ASCII")
-            found.append((self.header_name(name, place), value.encode("ascii", "replace")))
-        return tuple(found)
+            made = self.template(value, place, kind, path)
+            if made.names:
+                filled.append((self.header_name(name, place), made))
+            else:
+                plain.append((self.header_name(name, place), made.filled({}).encode("ascii", "replace")))
+        return tuple(plain), tuple(filled)
 
     def removed(self, row: RouteTableRow, at: str) -> frozenset[bytes]:
         for number, name in enumerate(row.remove_headers):
--- a/plovertrail/decisions/requests.py
+++ b/plovertrail/decisions/requests.py
@@ -8,7 +8,15 @@
 from dataclasses import dataclass
 
 from plovertrail.decisions.paths import BadTarget, normalise_host, normalise_path, split_target
-from plovertrail.decisions.routes import ClientSource, Head, Route, RouteTable, TenantSource, rewritten_path
+from plovertrail.decisions.routes import (
+    ClientSource,
+    Head,
+    Route,
+    RouteTable,
+    TenantSource,
+    captured,
+    rewritten_path,
+)
 
 IDENT = re.compile(rb"[!-~]{1,128}")
 
@@ -34,7 +42,7 @@
 
 
 def read_head(method: bytes, target: bytes, version: str, hosts: list[bytes],
-              headers: Mapping[bytes, bytes]) -> tuple[Head, str, bytes]:
+              headers: Mapping[bytes, bytes], listener: str = "") -> tuple[Head, str, bytes]:
     """The head as routes see it, the path as it goes on, and the host as it was named. `hosts` are all values
     of Host. Raises TurnedAway (RFC 9112, section 3.2)."""
     try:
@@ -48,16 +56,18 @@
         path, seen = normalise_path(raw_path)
     except BadTarget as error:
         raise TurnedAway(400, str(error)) from None
-    return Head(method.decode("ascii"), host, seen, query, headers), path, authority
+    return Head(method.decode("ascii"), host, seen, query, headers, listener), path, authority
 
 
-def route_request(table: RouteTable, head: Head, path: str, host: bytes) -> Routed:
-    """The route that takes a request; raises TurnedAway."""
+def route_request(table: RouteTable, head: Head, path: str, host: bytes, body: int = 0) -> Routed:
+    """The route that takes a request with so many bytes of body; raises TurnedAway."""
     match = table.lookup(head)
     if match.route is None:
         if match.allowed:
             raise TurnedAway(405, "no route takes this method here", match.allowed)
         raise TurnedAway(404, "no route")
+    if match.route.max_body is not None and body > match.route.max_body:
+        raise TurnedAway(413, "the body is longer than this route takes")
     try:
         target = rewritten_path(match.route, path).encode("latin-1")
     except BadTarget as error:
@@ -67,6 +77,21 @@
     return Routed(match.route, head, target, host)
 
 
+def told_by(head: Head, path: str, authority: bytes, sent: bytes, address: str, client: str, ident: bytes,
+            port: int, route: Route) -> dict[str, str]:
+    """What templates are filled with. `path` is the path as it goes on, `sent` the target as it came. All of
+    it is what a head may hold: no control characters."""
+    query = head.query.decode("latin-1")
+    before = head.headers.get(b"x-forwarded-for", b"").decode("latin-1")
+    told = {
+        "host": head.host, "authority": authority.decode("latin-1"), "address": address, "client": client,
+        "forwarded_for": f"{before}, {address}" if before else address, "method": head.method, "path": path,
+        "query": query, "args": f"?{query}" if query else "",
+        "uri": sent.decode("latin-1") if sent.startswith(b"/") else path + (f"?{query}" if query else ""),
+        "request_id": ident.decode("latin-1"), "port": str(port)}
+    return told | {str(number): text for number, text in enumerate(captured(route, head.path), 1)}
+
+
 def tenant_of(route: Route, head: Head, address: str) -> bytes:
     """The name of a request's tenant; empty where its route has none."""
     if route.tenant_from is TenantSource.HEADER:
--- a/plovertrail/decisions/routes.py
+++ b/plovertrail/decisions/routes.py
@@ -12,10 +12,12 @@
 import enum
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 import re2
 
 from plovertrail.decisions.paths import BadTarget, normalise_path
+from plovertrail.decisions.templates import Template
 
 SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 AUTOMATON_BYTES = 64 << 20  # of memory for the regular expressions of one host
@@ -54,6 +56,16 @@
     value: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class FixedAnswer:
+    """What a route answers by itself."""
+
+    status: int
+    location: Template | None = None
+    body: Template | None = None
+    content_type: str = "text/plain"
+
+
 @dataclass(frozen=True, slots=True)
 class Route:
     """One rule, and what becomes of the requests that it takes."""
@@ -61,7 +73,9 @@
     name: str
     pools: tuple[str, ...]  # asked in this order
     class_name: str
-    hosts: tuple[str, ...] = ()  # empty: any; `*.a.example` takes all names below a.example
+    # empty, or "": any; `*.a.example` takes all names below a.example, `www.a.*` all that begin so, and what
+    # begins with ~ is a regular expression that is searched for in the name
+    hosts: tuple[str, ...] = ()
     kind: PathKind = PathKind.PREFIX
     path: str = "/"
     methods: frozenset[str] = frozenset()  # empty: any
@@ -71,12 +85,18 @@
     deadline_us: int = 0  # 0 = the class's
     rewrite: str | None = None  # of the prefix, of the whole path, or a replacement with \1 for the regex
     set_headers: tuple[tuple[bytes, bytes], ...] = ()
+    filled_headers: tuple[tuple[bytes, Template], ...] = ()  # set as well, with what the request tells
     remove_headers: frozenset[bytes] = frozenset()  # in lower case
     tenant_from: TenantSource = TenantSource.NONE
     tenant_header: bytes = b""
     client_from: ClientSource = ClientSource.ADDRESS
     client_header: bytes = b""
     websocket: str = ""  # the name of the limits of its sockets; empty: it opens none
+    listeners: frozenset[str] = frozenset()  # empty: any
+    within: str = ""  # the path begins with this text,
+    excepts: tuple[str, ...] = ()  # and with none of these
+    max_body: int | None = None  # bytes; None: as long as the listeners take
+    answers: FixedAnswer | None = None  # it sends its requests to no server
 
     def rank(self, place: int) -> tuple[int, ...]:
         """Its place among the routes of one host: the smallest goes first."""
@@ -94,11 +114,13 @@
     path: str  # as rules see it
     query: bytes
     headers: Mapping[bytes, bytes]  # names in lower case, values of one name joined by ", "
+    listener: str = ""
 
 
 class Miss(enum.Enum):
     """Why a route does not take a request."""
 
+    LISTENER = "another listener"
     HOST = "another host"
     PATH = "another path"
     METHOD = "another method"
@@ -141,6 +163,10 @@
 
 def predicate_miss(route: Route, head: Head) -> Miss | None:
     """The first of a route's predicates that the request doesn't meet."""
+    if route.listeners and head.listener not in route.listeners:
+        return Miss.LISTENER
+    if not head.path.startswith(route.within) or (route.excepts and head.path.startswith(route.excepts)):
+        return Miss.PATH
     if route.methods and head.method not in route.methods:
         return Miss.METHOD
     for wanted in route.headers:
@@ -213,11 +239,15 @@
     def __init__(self, routes: Sequence[Route]) -> None:
         self.routes = tuple(routes)
         self._hosts: dict[str, HostRoutes] = {}
+        self._host_regexes: list[tuple[Any, str]] = []  # in the order of the file
         for place, route in enumerate(self.routes):
             for host in route.hosts or ("",):
                 self._hosts.setdefault(host, HostRoutes()).add(Ranked(route.rank(place), route))
-        for group in self._hosts.values():
+        for host, group in self._hosts.items():
             group.close()
+            if host.startswith("~"):
+                self._host_regexes.append((re2.compile(host[1:]), host))
+        self._trailing = any(host.endswith(".*") for host in self._hosts)
 
     def _groups(self, host: str) -> Iterator[HostRoutes]:
         """Those that take a host, the closest first."""
@@ -229,6 +259,14 @@
                 below = below.partition(".")[2]
                 if "*." + below in self._hosts:
                     yield self._hosts["*." + below]
+            above = host
+            while self._trailing and "." in above:
+                above = above.rpartition(".")[0]
+                if above + ".*" in self._hosts:
+                    yield self._hosts[above + ".*"]
+            for regex, name in self._host_regexes:
+                if regex.search(host):
+                    yield self._hosts[name]
         if "" in self._hosts:
             yield self._hosts[""]
 
@@ -250,7 +288,7 @@
         told: list[tuple[Route, Miss | None]] = []
         best: tuple[tuple[int, ...], int] | None = None
         for place, route in enumerate(self.routes):
-            host_rank = min((host_order(host, head.host) for host in route.hosts or ("",)
+            host_rank = min((self._host_order(host, head.host) for host in route.hosts or ("",)
                              if takes_host(host, head.host)), default=None)
             miss: Miss | None
             if host_rank is None:
@@ -270,20 +308,30 @@
         return told
 
 
+    def _host_order(self, pattern: str, host: str) -> int:
+        """Exact, then the longest wildcard at the front, the longest at the end, the first regular
+        expression, any."""
+        if pattern == "":
+            return 1 << 30
+        if pattern.startswith("~"):
+            names = [name for _, name in self._host_regexes]
+            return (1 << 20) + names.index(pattern)
+        if pattern.endswith(".*"):
+            return 2000 - len(pattern)
+        return 0 if pattern == host else 999 - len(pattern)
+
+
 def takes_host(pattern: str, host: str) -> bool:
     """Whether a route's host takes that of a request."""
+    if pattern.startswith("~"):
+        return bool(host) and re2.search(pattern[1:], host) is not None
+    if pattern.endswith(".*"):
+        return host.startswith(pattern[:-1]) and len(host) >= len(pattern)
     if pattern.startswith("*."):
         return host.endswith(pattern[1:]) and len(host) >= len(pattern)
     return pattern in ("", host)
 
 
-def host_order(pattern: str, host: str) -> int:
-    """Exact before the longest wildcard before any."""
-    if pattern == "":
-        return 1000
-    return 0 if pattern == host else 999 - len(pattern)
-
-
 def takes_path(route: Route, path: str) -> bool:
     """Whether a route's path takes that of a request."""
     if route.kind is PathKind.EXACT:
@@ -305,6 +353,10 @@
         covered = takes_path(first, second.path)
     else:
         covered = second.kind is PathKind.REGEX and first.path == second.path
+    # what a path must begin with, or must not, is told from the second's own words alone
+    covered = (covered and second.within.startswith(first.within)
+               and set(first.excepts) <= set(second.excepts)
+               and (not first.listeners or (bool(second.listeners) and second.listeners <= first.listeners)))
     return (covered and (not first.methods or (bool(second.methods) and second.methods <= first.methods))
             and set(first.headers) <= set(second.headers) and set(first.query) <= set(second.query))
 
@@ -338,6 +390,15 @@
     return layout.by_path(route.path)
 
 
+def captured(route: Route, path: str) -> list[str]:
+    """Nine groups of a route's regular expression in a path as rules see it; empty where there is none."""
+    groups: list[str] = []
+    if route.kind is PathKind.REGEX:
+        found = re2.fullmatch(route.path, path)
+        groups = [text or "" for text in found.groups()] if found is not None else []
+    return (groups + [""] * 9)[:9]
+
+
 def rewritten_path(route: Route, path: str) -> str:
     """The path that goes to the server, from the normalised one of the request; raises BadTarget if the
     route's replacement makes none. Prefixes are counted in segments, as the two forms of a path may differ in
--- a/plovertrail/fronts/ordinary.py
+++ b/plovertrail/fronts/ordinary.py
@@ -13,6 +13,7 @@
 from plovertrail.decisions.limits import OverLimit, limit_header, policy_header
 from plovertrail.decisions.requests import (
     IDENT,
+    Routed,
     TurnedAway,
     checked_key,
     client_of,
@@ -20,7 +21,9 @@
     read_head,
     route_request,
     tenant_of,
+    told_by,
 )
+from plovertrail.decisions.routes import FixedAnswer
 from plovertrail.decisions.sockets import Cause
 from plovertrail.exchange import Answer, Call, Result, Tunnel, Verdict
 from plovertrail.fronts.connections import ClientConnection, Listener, Patience, State
@@ -61,6 +64,15 @@
     return retry_after(over.retry_after_us) + named
 
 
+class AnsweredHere(Exception):
+    """A request that its route answers by itself, and what the request tells."""
+
+    def __init__(self, fixed: FixedAnswer, told: dict[str, str]) -> None:
+        super().__init__(fixed.status)
+        self.fixed = fixed
+        self.told = told
+
+
 class OrdinaryClient(ClientConnection):
     """One connection of a client. Pipelined requests are served one after the other, in their order."""
 
@@ -154,6 +166,8 @@
         except Refused as refused:
             extra = retry_after(refused.retry_after_us)
             self.write(refused.status, [PLAIN_TEXT, *extra], len(refused.body), refused.body, outcome=REFUSED)
+        except AnsweredHere as here:
+            self.answer_here(here)
         except Exception:
             # hazard: a fault with one request must end neither the process nor other requests
             log.exception("a request could not be taken")
@@ -163,7 +177,8 @@
             self.ident = self.front.host.arrived(call, self.answer, plan.pools, plan.limiters)
 
     def call(self, message: RequestMessage) -> tuple[Call, Plan]:
-        """The request as it goes on; raises TurnedAway, BadHandshake, TurnedAwayNow or Refused."""
+        """The request as it goes on; raises TurnedAway, BadHandshake, TurnedAwayNow, Refused or
+        AnsweredHere."""
         front, generation = self.front, self.front.current.generation
         arrived_us = clock_us()
         headers: dict[bytes, bytes] = {}
@@ -173,10 +188,14 @@
             if name == b"host":
                 hosts.append(value)
             headers[name] = headers[name] + b", " + value if name in headers else value
-        head, path, authority = read_head(message.method, message.target, message.version, hosts, headers)
-        routed = route_request(generation.setup.routes, head, path, authority)
-        plan = generation.plans[routed.route.name]
         listener = front.listener
+        head, path, authority = read_head(message.method, message.target, message.version, hosts, headers,
+                                          listener.name)
+        routed = route_request(generation.setup.routes, head, path, authority, len(message.body))
+        if routed.route.answers is not None:
+            told = self.told(routed, path, message.target, b"", self.peer())
+            raise AnsweredHere(routed.route.answers, told)
+        plan = generation.plans[routed.route.name]
         wait_us = deadline_us(headers.get(listener.deadline_header), plan.deadline_us)
         tenant_name = tenant_of(routed.route, head, self.peer())
         trail = None
@@ -200,6 +219,13 @@
         kept.append((listener.request_id_header, ident))
         if listener.forwarded != "off":
             kept.append(self.forwarded(headers, authority))
+        client = client_of(routed.route, head, self.peer(), trusted)
+        host = plan.set_host or authority
+        if plan.filled_headers or plan.filled_host is not None:
+            told = self.told(routed, path, message.target, ident, client)
+            kept.extend((name, value.filled(told).encode("latin-1")) for name, value in plan.filled_headers)
+            if plan.filled_host is not None:
+                host = plan.filled_host.filled(told).encode("latin-1")
         tenant = generation.tenants.get(tenant_name, len(generation.tenants))
         if plan.websocket is not None and asks_for_socket(message.headers):
             check_origin(message.headers, plan.websocket.origins)
@@ -212,9 +238,13 @@
             self.reader.read_on()
         return Call(message.method, routed.target, kept, message.body, arrived_us, wait_us, plan.class_index,
                     ident, tenant, hash(key) & 0xFFFF_FFFF_FFFF_FFFF if key else 0,
-                    host=plan.set_host or authority, handshake=self.socket,
-                    tenant_name=tenant_name.decode("latin-1"),
-                    client=client_of(routed.route, head, self.peer(), trusted)), plan
+                    host=host, handshake=self.socket,
+                    tenant_name=tenant_name.decode("latin-1"), client=client), plan
+
+    def told(self, routed: Routed, path: str, sent: bytes, ident: bytes, client: str) -> dict[str, str]:
+        """What the route's templates are filled with."""
+        return told_by(routed.head, path, routed.host, sent, self.peer(), client, ident,
+                       self.front.listener.address[1], routed.route)
 
     def peer(self) -> str:
         """The client's address."""
@@ -295,6 +325,15 @@
         body = why.encode() + b"\n"
         self.write(status, [PLAIN_TEXT, *(extra or [])], len(body), body, last, outcome)
 
+    def answer_here(self, here: AnsweredHere) -> None:
+        """A route's own answer."""
+        fixed = here.fixed
+        body = fixed.body.filled(here.told).encode() if fixed.body is not None else b""
+        headers: Headers = [(b"Content-Type", fixed.content_type.encode("latin-1"))] if body else []
+        if fixed.location is not None:
+            headers.append((b"Location", fixed.location.filled(here.told).encode("latin-1")))
+        self.write(fixed.status, headers, None if fixed.status in NO_BODY else len(body), body)
+
     def reject_for_now(self, why: str, retry_after_us: int) -> None:
         self.reject(503, why, extra=retry_after(retry_after_us))
 
--- a/plovertrail/generation.py
+++ b/plovertrail/generation.py
@@ -10,6 +10,7 @@
 from plovertrail.decisions.interface import RequestClass
 from plovertrail.decisions.limits import Limiter
 from plovertrail.decisions.routes import Route
+from plovertrail.decisions.templates import Template
 from plovertrail.hooks.chain import Chain, make_chain
 from plovertrail.host import ServerPool
 
@@ -30,6 +31,8 @@
     dropped: frozenset[bytes]  # headers that don't go on: the route's own, and those written anew
     set_host: bytes  # empty: the client's
     set_headers: tuple[tuple[bytes, bytes], ...]
+    filled_headers: tuple[tuple[bytes, Template], ...]
+    filled_host: Template | None  # in place of set_host
     websocket: WebSocket | None = None
     limiters: tuple[Limiter, ...] = ()
     chain: Chain | None = None  # its hooks
@@ -65,15 +68,20 @@
     """Lay out a setup for requests; `pools`, `hooks` and `limiters` have one for each of its own."""
     plans = {}
     for route in setup.routes.routes:
+        if route.answers is not None:
+            continue  # its requests go to no server
         index = setup.class_index(route.class_name)
         kind = setup.classes[index]
         hosts = [value for name, value in route.set_headers if name.lower() == b"host"]
         others = tuple(pair for pair in route.set_headers if pair[0].lower() != b"host")
-        dropped = route.remove_headers | {name.lower() for name, _ in others}
+        filled = {name.lower(): (name, value) for name, value in route.filled_headers}
+        _, filled_host = filled.pop(b"host", (b"", None))
+        dropped = route.remove_headers | {name.lower() for name, _ in others} | filled.keys()
         plan = Plan(
             route, tuple(pools[name] for name in route.pools), index, kind, setup.key_headers[index].lower(),
             route.deadline_us or kind.deadline_us, dropped | {b"host", b"expect", b"x-deadline-ms"},
-            hosts[-1] if hosts else b"", others, setup.websockets.get(route.websocket),
+            hosts[-1] if hosts else b"", others, tuple(filled.values()), filled_host,
+            setup.websockets.get(route.websocket),
             tuple(limiters[name] for name in setup.limited.get(route.name, ())))
         if route.name in setup.hooked:
             plan = with_hooks(plan, setup, hooks)
@@ -94,7 +102,7 @@
                               deadline_us=min(plan.deadline_us, kind.deadline_us))
     # hazard: a key or a request's id that a hook changes would be another request's
     protected = {key.lower() for key in setup.key_headers if key} | route.remove_headers
-    protected |= {name.lower() for name, _ in route.set_headers}
+    protected |= {name.lower() for name, _ in (*route.set_headers, *route.filled_headers)}
     for listener in setup.listeners:
         protected |= {listener.request_id_header.lower(), listener.deadline_header}
     classes = {plan.kind.name: plan.kind} | {name: chosen.kind for name, chosen in plans.items()}
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -105,6 +105,46 @@
         LAST_ROUTE + 'limiters = ["a"]\n[limiters.a]\nby = "tenant"\nrate_per_s = 1\n',
         'routes[1] ("rest").limiters[0]: limiter "a" counts by tenant, and the route says none',
     ),
+    "an answer and pools": (
+        'name = "rest"',
+        'name = "rest"\nrespond = { status = 404 }',
+        'routes[1] ("rest").pools: its requests go to no server, as it has respond',
+    ),
+    "a redirect to nowhere": (
+        LAST_ROUTE,
+        "respond = { status = 302 }\n",
+        'routes[1] ("rest").respond: status 302 with no location',
+    ),
+    "a location that nobody follows": (
+        LAST_ROUTE,
+        'respond = { status = 404, location = "/" }\n',
+        'routes[1] ("rest").respond.location: status 404 leads nowhere',
+    ),
+    "a template of what isn't known": (
+        LAST_ROUTE,
+        'respond = { status = 301, location = "{hots}" }\n',
+        'routes[1] ("rest").respond.location: {hots} is not known; write one of {1}',
+    ),
+    "a template with a group that isn't there": (
+        LAST_ROUTE,
+        LAST_ROUTE + 'path_regex = "/a/(.*)"\nset_headers = { X-A = "{1}", X-B = "{2}" }\n',
+        'routes[1] ("rest").set_headers.X-B: names a group that the route\'s path doesn\'t have',
+    ),
+    "a route with neither pools nor an answer": (
+        LAST_ROUTE,
+        'class = "read"\n',
+        'routes[1] ("rest"): the key pools is missing; write pools = ..., or respond',
+    ),
+    "a listener that isn't there": (
+        LAST_ROUTE,
+        LAST_ROUTE + 'listeners = ["wbe"]\n',
+        'routes[1] ("rest").listeners[0]: no listener is called "wbe"; did you mean "web"?',
+    ),
+    "a host that is no regular expression": (
+        LAST_ROUTE,
+        LAST_ROUTE + 'hosts = ["~(?=a)"]\n',
+        'routes[1] ("rest").hosts[0]: no regular expression of RE2',
+    ),
     "a client from nowhere": (
         'name = "rest"',
         'name = "rest"\nclient = "cookie"',
@@ -230,7 +270,7 @@
         'pools = ["mian"]',
         'routes[0] ("buy").pools[0]: no pool is called "mian"; did you mean "main"?',
     ),
-    "no pool at all": ('pools = ["main", "spare"]', "pools = []", "routes[0].pools:"),
+    "no pool at all": ('pools = ["main", "spare"]', "pools = []", 'routes[0] ("buy"): the key pools is missing'),
     "a pool twice": (
         '["main", "spare"]',
         '["main", "main"]',
