Affinity: requests of one client, tenant, path or header meet at one server

Pools drew servers at random only, and what moves from nginx's ip_hash or hash wants a client's requests to meet. A ring of points (decisions/affinity.py, pure) names two servers that a request prefers; the module takes one for the first attempt if it could have drawn it: a free slot, warm enough, not resting, not barred. A further attempt goes anywhere. Off unless a pool has affinity; no pool of the platform has.

--- a/plovertrail/config/operator.py
+++ b/plovertrail/config/operator.py
@@ -24,6 +24,7 @@
 from plovertrail.config.problems import ConfigError, Problem, did_you_mean
 from plovertrail.config.tables import duration_us, key_path, read_table, size_bytes
 from plovertrail.decisions import sockets
+from plovertrail.decisions.affinity import Affinity, AffinitySource
 from plovertrail.decisions.fairness import DoorSettings
 from plovertrail.decisions.interface import RequestClass, Settings, Tenant
 from plovertrail.decisions.limits import LimiterSettings
@@ -163,6 +164,7 @@
     max_sockets_per_server: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
     share: dict[str, Any] = {}
     fair: dict[str, Any] | None = None
+    affinity: str | None = None
     classes: dict[str, Any] = {}
 
 
@@ -280,6 +282,7 @@
     max_sockets_per_server: int
     bounds: Bounds  # what one of its servers bears from all instances
     door: DoorSettings | None  # None: requests take slots as they come
+    affinity: Affinity | None  # None: requests prefer no server
 
     @property
     def lists(self) -> list[tuple[str, bool]]:
@@ -573,7 +576,20 @@
                     tuple(table.servers_from), table.whole == "checksum", guards, table.max_sockets,
                     table.max_sockets_per_server or table.max_sockets,
                     Bounds(share.servers, share.connections, share.dials_per_s),
-                    self.door(table, place, settings.max_retry_after_us))
+                    self.door(table, place, settings.max_retry_after_us), self.affinity(table, place))
+
+    def affinity(self, table: PoolTable, place: str) -> Affinity | None:
+        """What a pool's requests have in common that should meet at one server."""
+        if table.affinity is None:
+            return None
+        kind, _, name = table.affinity.partition(":")
+        if kind == "header" and name:
+            return Affinity(AffinitySource.HEADER, self.header_name(name, f"{place}.affinity").lower())
+        if table.affinity in ("client", "tenant", "path"):
+            return Affinity(AffinitySource(table.affinity))
+        self.wrong(f"{place}.affinity", f"{table.affinity!r} is nothing that requests have in common",
+                   'write "client", "tenant", "path" or "header:X-User"')
+        return None
 
     def door(self, table: PoolTable, place: str, max_retry_after_us: int) -> DoorSettings | None:
         """How a pool's slots are shared among tenants."""
@@ -698,7 +714,8 @@
             self.methods(row, at, kind), self.predicates(row.headers, f"{at}.headers", header=True),
             self.predicates(row.query, f"{at}.query", header=False), row.priority, deadline_us,
             self.rewrite(row, at, path_kind, path), row.keep_query, plain, filled, self.removed(row, at),
-            tenant_from, tenant_header, client_from, client_header, row.websocket or "", frozenset(row.listeners),
+            tenant_from, tenant_header, client_from, client_header, row.websocket or "",
+            frozenset(row.listeners),
             self.beginning(row.path_within, f"{at}.path_within") if row.path_within else "",
             tuple(self.beginning(text, f"{at}.path_except[{number}]")
                   for number, text in enumerate(row.path_except)),
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -164,6 +164,7 @@
         self.budget = share.Budget()
         self.overdrawn = ""
         self.use_door(host, seed)
+        self.pool.use_affinity(config.affinity)
         if config.bounds.servers:
             zones = config.settings.cross_zone_fee > 0
             host.use_subset(self.pool, share.Subset(
@@ -188,7 +189,8 @@
         mine = self.config
         return (mine.settings == config.settings and mine.idle_us == config.idle_us
                 and mine.max_connections == config.max_connections and self.max_answer == max_answer
-                and mine.home_zone == config.home_zone and mine.bounds.servers == config.bounds.servers
+                and mine.home_zone == config.home_zone and mine.affinity == config.affinity
+                and mine.bounds.servers == config.bounds.servers
                 and (self.chosen_by == chosen_by or not config.bounds.servers))
 
     def retire(self, host: Host) -> None:
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -405,6 +405,9 @@
             return None
         self.open_rested()
         some_rest = self.muted[request.event.class_index] <= MOST_MUTE * len(self.servers)
+        server = self.preferred(request, some_rest) if request.event.preferred else None
+        if server is not None:
+            return server
         for pool in self.pools:
             if pool.credit < 1.0:
                 continue
@@ -421,6 +424,17 @@
                     return server
         return None
 
+    def preferred(self, request: Request, some_rest: bool) -> Server | None:
+        """A first attempt's own choice, if it could take it by chance as well. Hazard: one that fails must
+        not get the repeats too."""
+        for number in request.event.preferred if not request.attempts else ():
+            server = self.servers.get(number)
+            if server is not None and server.pool.credit >= 1.0 and self.share(server) > 0.0:
+                heard = server.silence[request.event.class_index] < SILENCE_BORNE
+                if heard and self.fits(request, server, some_rest):
+                    return server
+        return None
+
     def pick(self, request: Request, group: WeightedDraw, some_rest: bool) -> Server | None:
         """One of a group, in proportion to its free slots: drawn by what holds for all requests, and taken
         with the part that is left of it for this one. Few draws miss; then all are gone through."""
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -16,6 +16,7 @@
 
 from plovertrail.clock import clock_us
 from plovertrail.decisions import interface as api
+from plovertrail.decisions.affinity import Affinity, Ring
 from plovertrail.decisions.balance import Balancer, Reissues
 from plovertrail.decisions.failover import Standing, kept_attempts, next_pool
 from plovertrail.decisions.fairness import Action, Admitted, Door, DoorSettings
@@ -63,6 +64,8 @@
         self.telling: asyncio.Handle | None = None
         self.retired = False
         self.dial_timer: asyncio.TimerHandle | None = None
+        self.affinity: Affinity | None = None  # None: requests prefer no server
+        self.ring: Ring | None = None
         self.door: Door | None = None  # None: requests go to the module as they come
         self.door_timer: asyncio.TimerHandle | None = None
         self.door_due_us = 0  # when that fires
@@ -70,6 +73,8 @@
     def forget(self, ident: int) -> None:
         """Nothing new goes to a server, or to its old address."""
         self.serving.discard(ident)
+        if self.ring is not None:
+            self.ring.discard(ident)
         if self.addresses.pop(ident, None) is not None:
             self.upstreams.forget(ident)
 
@@ -135,10 +140,25 @@
                 self.addresses[entry.id] = address
             if entry.state is api.UpstreamState.READY:
                 self.serving.add(entry.id)
+                if self.ring is not None and address is not None:
+                    self.ring.put(entry.id, address, entry.weight)
             else:
                 self.forget(entry.id)
 
 
+    def use_affinity(self, affinity: Affinity | None) -> None:
+        """Requests prefer servers by this. Before the first list."""
+        self.affinity = affinity
+        self.ring = Ring() if affinity is not None else None
+
+    def preferred(self, call: Call) -> tuple[int, ...]:
+        """The servers that a request should go to if they have a free slot."""
+        if self.affinity is None or self.ring is None:
+            return ()
+        key = self.affinity.key_of(call.client, call.tenant_name, call.target, call.headers)
+        return self.ring.preferred(key)
+
+
 @dataclass(slots=True)
 class Attempt:
     pool: ServerPool
@@ -395,7 +415,7 @@
                                           call.key, call.cost_us, call.retried,
                                           earlier_attempts=standing.attempts,
                                           kept_attempts=kept_attempts(standing, serving, number, most),
-                                          barred=barred)
+                                          barred=barred, preferred=pool.preferred(call))
         if pool.door is None:
             self._let_through(pool, request.ident)
         else:
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -145,6 +145,11 @@
         LAST_ROUTE + 'hosts = ["~(?=a)"]\n',
         'routes[1] ("rest").hosts[0]: no regular expression of RE2',
     ),
+    "an affinity to nothing": (
+        "[pools.spare]",
+        '[pools.spare]\naffinity = "cookie"',
+        "pools.spare.affinity: 'cookie' is nothing that requests have in common; write",
+    ),
     "a client from nowhere": (
         'name = "rest"',
         'name = "rest"\nclient = "cookie"',
