The nginx importer: an operator's file, and a report on each directive of the input

Publishers front their stores with nginx, and moving them by hand invites mistakes. plovertrail import-nginx reads a configuration (crossplane parses), turns nginx's choice of servers and locations into an order of routes, and says of each directive what became of it. What may guard a location and isn't carried over answers 501 there; GET and HEAD alone are safe to repeat.

--- a/benchmarks/nginx_requests.py
+++ b/benchmarks/nginx_requests.py
@@ -68,6 +68,7 @@
                 plain = re.sub(r"[~^$\\()+?|\[\]{}<>:]", "", name.replace(r"\d+", "7").replace(".+", "x"))
                 plain = plain.strip(".").replace("*", "q") or "x"
                 hosts += [plain, plain.upper(), f"w.{plain}", f"a.b.{plain}", f"{plain}.zz"]
+    hosts = [host for host in hosts if ".." not in host]  # no Host of a request
     locations = list(blocks(reference.root, "location")) or [Block("location", ["/"], 0)]
     rewrites = [each.args[0] for each in blocks(reference.root, "rewrite")]
     for _ in range(count):
@@ -204,6 +205,8 @@
         return f"URI {wanted.uri}, and here {got.uri}", False
     for name, value in wanted.headers.items():
         if not got.status and got.headers.get(name, "") != value:
+            if name == "x-request-id":
+                return "a request id", told(report, "proxy_set_header", Treatment.DIFFERS, name)
             marked = told(report, "proxy_set_header", Treatment.NOT_MAPPED, name) and name not in got.headers
             return f"{name}: {value}, and here {got.headers.get(name, '')}", marked
     return "", False
--- a/plovertrail/nginx/importer.py
+++ b/plovertrail/nginx/importer.py
@@ -68,6 +68,7 @@
         default_factory=list
     )  # address, and whether it is the default there
     names: list[tuple[str, Directive]] = field(default_factory=list)  # as the operator's file has them
+    lost: set[tuple[str, str]] = field(default_factory=set)  # addresses and names that are another server's
 
 
 @dataclass
@@ -189,16 +190,17 @@
         taken: dict[tuple[str, str], Directive] = {}
         for server in servers:
             for address, _ in server.listens:
-                for name, directive in list(server.names):
+                for name, directive in server.names:
                     before = taken.setdefault((address, name), directive)
-                    if before is not directive and (name, directive) in server.names:
-                        server.names.remove((name, directive))
-                        self.report.no_effect(
+                    if before is not directive:
+                        server.lost.add((address, name))
+                        self.report.differs(
                             directive,
-                            f"{name}: {before.place} has this name already, and nginx ignores the second",
+                            f"{name}: {before.place} has this name already on {address}, "
+                            "and nginx ignores the second",
                         )
         for server in servers:
-            if server.listens and not server.names and not any(default for _, default in server.listens):
+            if server.listens and not self._placings(server):
                 server.listens = []
                 self._shut_block(server.directive, "no request reaches it but one without a Host")
 
@@ -260,11 +262,7 @@
                 raise Shut(guard, shut_note(guard))
             if self._answers_all(server.scope):
                 return
-            locations = [
-                made
-                for each in server.scope.own("location")
-                if (made := self._location(each, server.scope)) is not None
-            ]
+            locations = self._locations(server.scope, None)
             for rule in order(locations):
                 self._rule(rule)
         except CrossedPatterns as crossed:
@@ -279,12 +277,16 @@
                 self.routes.fixed(server.directive, Region(), 404, "no route")
 
     def _placings(self, server: ServerBlock) -> list[tuple[list[str], list[str]]]:
-        """Hosts and listeners: apart where the server is the default, as it takes any host there."""
-        hosts = [name for name, _ in server.names]
-        default = [self.listeners[address] for address, is_default in server.listens if is_default]
-        others = [self.listeners[address] for address, is_default in server.listens if not is_default]
-        found = [([*hosts, "*"], default)] if default else []
-        return found + ([(hosts, others)] if others and hosts else [])
+        """Hosts and listeners, those with the same hosts together: a default server takes any host, and a
+        name that another server has on one address may be its own on the next."""
+        found: dict[tuple[str, ...], list[str]] = {}
+        for address, is_default in server.listens:
+            hosts = [name for name, _ in server.names if (address, name) not in server.lost]
+            if is_default:
+                hosts.append("*")
+            if hosts:
+                found.setdefault(tuple(hosts), []).append(self.listeners[address])
+        return [(list(hosts), listeners) for hosts, listeners in found.items()]
 
     def _shut_server(self, server: ServerBlock, by: Directive, why: str) -> None:
         self.report.not_mapped(by, f"{why}; the whole server is answered 501")
@@ -310,6 +312,37 @@
 
     # Locations
 
+    def _locations(self, scope: Scope, outer: Location | None) -> list[Location]:
+        """Those of one level, without what nginx refuses. Raises Shut."""
+        found: list[Location] = []
+        for block in scope.own("location"):
+            made = self._location(block, scope)
+            if made is None:
+                continue
+            same = [
+                each
+                for each in found
+                if made.kind is not Kind.REGEX
+                and each.text == made.text
+                and each.kind is not Kind.REGEX
+                and (each.kind is Kind.EXACT) == (made.kind is Kind.EXACT)
+            ]
+            outside = outer is not None and (
+                outer.kind is Kind.EXACT
+                or (
+                    outer.kind is not Kind.REGEX
+                    and made.kind is not Kind.REGEX
+                    and not made.text.startswith(outer.text)
+                )
+            )
+            if same:
+                self._shut_block(block, f"nginx refuses it: {same[0].directive.place} is the same location")
+            elif outside and outer is not None:
+                self._shut_block(block, f"nginx refuses it: it is not within {outer.directive.place}")
+            else:
+                found.append(made)
+        return found
+
     def _location(self, block: Directive, outer: Scope) -> Location | None:
         """One block and what is nested in it; None if no request comes to it. Raises Shut."""
         args = block.args
@@ -341,9 +374,7 @@
             and len(made.text) > 1
             and made.text.endswith("/")
         )
-        made.nested = [
-            inner for each in scope.own("location") if (inner := self._location(each, scope)) is not None
-        ]
+        made.nested = self._locations(scope, made)
         self.scopes[block.number, id(made)] = scope
         return made
 
@@ -359,6 +390,11 @@
         guard = scope.guard()
         if guard is not None:
             self.report.not_mapped(guard, shut_note(guard))
+            for each in scope.directives:
+                asks = each.name in GUARDS or each.name in ("proxy_pass", "return", "rewrite")
+                if asks and not self.report.known(each):
+                    why = f"its location is answered 501, for {guard.place}: {guard.name}"
+                    self.report.not_mapped(each, why)
             self._shut(rule, guard)
             return
         for directive in scope.directives:
@@ -385,6 +421,7 @@
             self._shut(rule, passes[-1])
 
     def _shut(self, rule: Rule, by: Directive) -> None:
+        """A rule's requests are answered 501, for a directive that isn't carried over."""
         if by is not rule.location.directive:
             self.report.differs(rule.location.directive, f"answered 501, for {by.place}: {by.name}")
         self.routes.add(
@@ -506,6 +543,9 @@
                 uri = uri.removesuffix("$is_args$args")
             regex, replace = self._with_uri(rule, uri)
         replace = replace.removesuffix("?")
+        groups = re2.compile(regex).groups if regex is not None else 0
+        if any(int(number) > groups for number in re.findall(r"\\(\d)", replace)):
+            raise Unmappable("groups of an expression that isn't its location's")
         self._headers(scope, name, settings)
         self._times(scope, group, settings)
         self._body(scope, settings)
@@ -687,7 +727,9 @@
         for directive in self.tree.written:
             if self.report.known(directive):
                 continue
-            if directive.name in KNOWN:
+            if directive.name in GUARDS:
+                self.report.not_mapped(directive, shut_note(directive))
+            elif directive.name in KNOWN:
                 self.report.mark(directive, *KNOWN[directive.name])
                 for inner in self._inner(directive):
                     if not self.report.known(inner):
--- a/plovertrail/nginx/scope.py
+++ b/plovertrail/nginx/scope.py
@@ -33,6 +33,8 @@
     directives: list[Directive]
     outer: Scope | None = None
     by_name: dict[str, list[Directive]] = field(default_factory=dict)
+    looked: bool = False  # for what guards this level
+    found: Directive | None = None
 
     def __post_init__(self) -> None:
         for directive in self.directives:
@@ -63,12 +65,16 @@
     def guard(self) -> Directive | None:
         """What shuts a location here, as it isn't carried over; the closest one. Hazard: opened without its
         guard, a location would let in whom nginx keeps out."""
-        for scope in self.levels():
-            for directive in scope.directives:
-                odd = any("\ufffd" in text for text in (directive.name, *directive.args))
-                if odd or directive.wrong or guards(directive.name, directive.args):
-                    return directive
-        return None
+        return next((found for scope in self.levels() if (found := scope.own_guard()) is not None), None)
+
+    def own_guard(self) -> Directive | None:
+        """The first one of this level, looked for once."""
+        if not self.looked:
+            self.looked = True
+            self.found = next((directive for directive in self.directives if directive.wrong
+                               or guards(directive.name, directive.args)
+                               or any("\ufffd" in text for text in (directive.name, *directive.args))), None)
+        return self.found
 
 
 def time_ms(text: str) -> int:
--- a/plovertrail/nginx/upstreams.py
+++ b/plovertrail/nginx/upstreams.py
@@ -18,6 +18,13 @@
     "random": "servers are drawn at random among free slots",
     "least_time": "servers are drawn at random among free slots, which a slow one has fewer of",
 }
+AFFINITIES = {
+    "$remote_addr": "client",
+    "$binary_remote_addr": "client",
+    "$uri": "path",
+    "$request_uri": "path",
+    "$document_uri": "path",
+}
 
 
 @dataclass(slots=True)
@@ -41,6 +48,7 @@
     connect_ms: int = 0  # the shortest that a location asks for
     tries: int = 0  # the fewest
     sockets: bool = False
+    affinity: str = ""
     used: bool = False
 
     @property
@@ -90,12 +98,23 @@
             _server(group, directive, report)
         elif name in METHODS and len(directive.args) <= 2:
             report.differs(directive, METHODS[name])
-        elif name in ("ip_hash", "hash", "sticky"):
-            report.not_mapped(
-                directive,
-                "servers are drawn at random among free slots: if clients must come "
-                "back to the same one, keep their state elsewhere",
-            )
+        elif name in ("ip_hash", "hash"):
+            key = directive.args[0] if name == "hash" and directive.args else "$remote_addr"
+            group.affinity = AFFINITIES.get(key, "")
+            if key.startswith("$http_") and key[6:].replace("_", "").isalnum():
+                group.affinity = "header:" + key[6:].replace("_", "-")
+            if group.affinity:
+                report.differs(
+                    directive,
+                    "affinity of the pool: a preference, while the server has a free slot; "
+                    "which server it is differs",
+                )
+            else:
+                report.not_mapped(
+                    directive, f"{key} is nothing that a pool's affinity goes by: servers are drawn at random"
+                )
+        elif name == "sticky":
+            report.not_mapped(directive, "no cookies are set: write affinity by a header of the client's")
         elif name == "keepalive":
             report.differs(
                 directive, "idle connections are kept as needed, pools.NAME.max_connections at most"
@@ -192,6 +211,8 @@
             lines.append(f'connect_timeout = "{time_text(group.connect_ms)}"')
         if group.idle_ms:
             lines.append(f'idle_timeout = "{time_text(group.idle_ms)}"')
+        if group.affinity:
+            lines.append(f'affinity = "{group.affinity}"')
         if group.sockets:
             lines.append("max_sockets = 1000")
         if group.max_conns:
--- a/standins/nginx_reference.py
+++ b/standins/nginx_reference.py
@@ -177,6 +177,11 @@
                 return tight, location.args[0].removeprefix(tight)
         return "", location.args[0]
 
+    def beginning(self, level: Block) -> str:
+        """What prefixes at this level begin with: nginx refuses those outside the location around them."""
+        kind, text = self.modifier(level) if level.name == "location" else ("~", "")
+        return text if kind in ("", "^~") else "/"
+
     def location(self, level: Block, path: str) -> tuple[Block | None, bool]:
         """ngx_http_core_module, location: first prefix locations, the longest match remembered; then regular
         expressions in the order of their appearance; the first match ends the search. `=` ends it at once,
@@ -185,9 +190,9 @@
         longest: Block | None = None
         for each in level.own("location"):
             kind, text = self.modifier(each)
-            if kind == "=" and text == path:
+            if kind == "=" and text == path and text.startswith(self.beginning(level)):
                 return each, True
-            if kind in ("", "^~") and not text.startswith("@") and path.startswith(text) and (
+            if kind in ("", "^~") and text.startswith(self.beginning(level)) and path.startswith(text) and (
                     longest is None or len(text) > len(self.modifier(longest)[1])):
                 longest = each
         remembered = longest
@@ -210,7 +215,8 @@
         trailing slash, a permanent redirect with the code 301 will be returned to the requested URI with the
         slash appended. If this is not desired, an exact match could be defined."""
         plain = [(*self.modifier(each), each) for each in level.own("location")
-                 if self.modifier(each)[0] in ("", "^~", "=")]
+                 if self.modifier(each)[0] in ("", "^~", "=")
+                 and self.modifier(each)[1].startswith(self.beginning(level))]
         if any(kind == "=" and text == path for kind, text, _ in plain):
             return None
         if all(text != path for _, text, _ in plain):
@@ -264,7 +270,7 @@
         block: Block | None = location
         while block is not None:
             for each in block.inner:
-                if each.name == "allow" and each.args == ["all"]:
+                if (each.name, each.args) in (("allow", ["all"]), ("auth_basic", ["off"])):
                     continue
                 if each.name in ("if", "try_files", "auth_basic", "allow", "deny", "internal", "auth_request",
                                  "limit_except"):
--- a/tests/nginx/test_equivalence.py
+++ b/tests/nginx/test_equivalence.py
@@ -1,4 +1,4 @@
-"""What the import decides is what nginx would, or the report says so: the corpus, and generated configurations."""
+"""What the import decides is what nginx would, or the report says so: the corpus and generated ones."""
 
 from __future__ import annotations
 
@@ -29,8 +29,9 @@
     found = []
     for asked in requests(reference, count, random.Random(seed)):
         if asked.port in ports:
-            what, told = difference(reference, imported.report, asked, reference.follow(asked),
-                                    decided(setup, asked))
+            what, told = difference(
+                reference, imported.report, asked, reference.follow(asked), decided(setup, asked)
+            )
             if what and not told:
                 found.append(f"{asked}: {what}")
     return found
@@ -48,8 +49,12 @@
     assert len(CORPUS) >= 40
 
 
-@settings(max_examples=150, deadline=None, derandomize=True,
-          suppress_health_check=[HealthCheck.function_scoped_fixture, HealthCheck.too_slow])
+@settings(
+    max_examples=150,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture, HealthCheck.too_slow],
+)
 @given(text=configurations, seed=st.integers(0, 2**16))
 def test_generated_configurations_are_moved_so_too(text: str, seed: int, tmp_path: Path) -> None:
     path = tmp_path / "made.conf"
