--- a/plovertrail/nginx/importer.py
+++ b/plovertrail/nginx/importer.py
@@ -88,6 +88,7 @@
         self.limits = Limits(self.report)
         self.routes = RouteWriter()
         self.listeners: dict[str, str] = {}  # name by address
+        self.fixed: dict[str, str] = {}  # variables with one value, of maps
         self.upgrades: set[str] = set()  # variables that say whether a client asks for another protocol
         self.bodies: list[int] = []
         self.scopes: dict[tuple[int, int], Scope] = {}  # of locations
@@ -137,8 +138,19 @@
         ]
 
     def _map(self, block: Directive) -> None:
-        """Of maps only the usual one for WebSockets is taken up."""
+        """Of maps the usual one for WebSockets is taken up, and one that has only a default."""
         inner = block.block or []
+        plain = [each for each in inner if each.name not in ("hostnames", "volatile")]
+        if (
+            len(block.args) == 2
+            and [each.name for each in plain] == ["default"]
+            and len(plain[0].args) == 1
+            and "$" not in plain[0].args[0]
+        ):
+            self.fixed[block.args[1].removeprefix("$")] = plain[0].args[0]
+            for each in (block, *inner):
+                self.report.mapped(each, "a constant")
+            return
         if (
             len(block.args) == 2
             and block.args[0] == "$http_upgrade"
@@ -303,7 +315,7 @@
             if directive.name == "rewrite":
                 self._rewrite(directive, Rule(Location(Kind.PREFIX, "", directive), Region()), None, scope)
             elif directive.name == "return":
-                self._return(directive, Rule(Location(Kind.PREFIX, "", directive), Region()))
+                self._return(directive, Rule(Location(Kind.PREFIX, "", directive), Region()), scope)
                 for each in scope.directives:
                     if each.name == "location":
                         self._shut_block(each, f"never reached: {directive.place} answers all")
@@ -367,7 +379,7 @@
                 self._shut_block(block, "no request comes to such a location here: it is left out")
                 return None
             made = Location(kind, path, block)
-        scope = Scope(block.block or [], outer)
+        scope = Scope(block.block or [], outer, location=True)
         made.redirects = (
             made.kind in (Kind.PREFIX, Kind.FINAL)
             and bool(scope.own("proxy_pass"))
@@ -401,7 +413,7 @@
             if directive.name == "rewrite":
                 self._rewrite(directive, rule, scope, scope)
             elif directive.name == "return":
-                self._return(directive, rule)
+                self._return(directive, rule, scope)
                 self.report.mapped(block, "its requests are answered here")
                 return
         passes = scope.own("proxy_pass")
@@ -432,8 +444,13 @@
 
     # Answers and rewrites
 
-    def _return(self, directive: Directive, rule: Rule) -> None:
-        args = directive.args
+    def _plain(self, text: str, scope: Scope) -> str:
+        """A text with the values of what is constant at its place."""
+        known = self.fixed | scope.constants()
+        return VARIABLE.sub(lambda found: known.get(found[1] or found[2], found[0]), text)
+
+    def _return(self, directive: Directive, rule: Rule, scope: Scope) -> None:
+        args = [self._plain(each, scope) for each in directive.args]
         try:
             if not args or len(args) > 2:
                 raise Unmappable("neither a status nor a URL")
@@ -485,6 +502,7 @@
         if len(directive.args) not in (2, 3):
             raise Shut(directive, "it has neither two nor three parts")
         regex, text, flag = (*directive.args, "")[:3]
+        text = self._plain(text, scope)
         if wrong := runs(whole(regex)):
             raise Shut(directive, f"{wrong}, so which requests it takes isn't known")
         if rule.regex is not None:
@@ -527,7 +545,8 @@
 
     def _proxy(self, rule: Rule, scope: Scope, directive: Directive, rewritten: str = "") -> None:
         """The two routes of a location that passes its requests on. Raises Unmappable."""
-        url = directive.args[0] if directive.args else ""
+        written = directive.args[0] if directive.args else ""
+        url = self._plain(written, scope)
         found = re.fullmatch(r"http://([^/?#]+)([^?#]*)", url)
         if found is None:
             raise Unmappable(f"{url!r} is no plain http URL")
@@ -538,10 +557,13 @@
         regex, replace = rule.regex, rewritten
         settings = RouteSettings(group.pools, keep_query=not rewritten.endswith("?"))
         if uri and not rewritten:  # behind a rewrite nginx leaves the URI out
-            if "$" in uri:  # a URI with variables goes on as it is
+            if "$" in written:  # with variables anywhere, the URI goes on as it is
                 settings.keep_query = uri.endswith("$is_args$args")
                 uri = uri.removesuffix("$is_args$args")
-            regex, replace = self._with_uri(rule, uri)
+            if "$" in written and "$" not in uri:
+                regex, replace = self._as_it_is(rule), replacement(uri)
+            else:
+                regex, replace = self._with_uri(rule, uri)
         replace = replace.removesuffix("?")
         groups = re2.compile(regex).groups if regex is not None else 0
         if any(int(number) > groups for number in re.findall(r"\\(\d)", replace)):
@@ -571,6 +593,13 @@
         group.used = True
         return group
 
+    @staticmethod
+    def _as_it_is(rule: Rule) -> str | None:
+        """What matches a whole path, so that all of it is replaced."""
+        if rule.exact is not None or rule.regex is not None:
+            return rule.regex
+        return f"^{re2.escape(rule.location.text)}"
+
     def _with_uri(self, rule: Rule, uri: str) -> tuple[str | None, str]:
         """What proxy_pass with a URI makes of a path: that in place of what the location matched."""
         if rule.exact is not None:
@@ -595,7 +624,7 @@
                 continue
             name, value = directive.args
             try:
-                self._header(directive, name, value, host, settings)
+                self._header(directive, name, self._plain(value, scope), host, settings)
             except Unmappable as why:
                 settings.removed.append(name)
                 settings.headers.pop(name, None)
@@ -721,13 +750,22 @@
                 found[key] = time_text(longest)
         return found
 
+    def _sets(self, directive: Directive) -> None:
+        """One `set`: constants are filled in where they are used; of others each use is told."""
+        if len(directive.args) == 2 and "$" not in directive.args[1]:
+            self.report.differs(directive, "its value stands where it is used, if it is set once")
+        else:
+            self.report.not_mapped(directive, "a variable that isn't constant: what uses it isn't imported")
+
     def _leftovers(self) -> None:
         """What is known and nobody has taken up; what no imported location inherits has no effect."""
         self.times = self._listener_times()
         for directive in self.tree.written:
             if self.report.known(directive):
                 continue
-            if directive.name in GUARDS:
+            if directive.name == "set":
+                self._sets(directive)
+            elif directive.name in GUARDS:
                 self.report.not_mapped(directive, shut_note(directive))
             elif directive.name in KNOWN:
                 self.report.mark(directive, *KNOWN[directive.name])
--- a/plovertrail/nginx/scope.py
+++ b/plovertrail/nginx/scope.py
@@ -32,6 +32,7 @@
 
     directives: list[Directive]
     outer: Scope | None = None
+    location: bool = False
     by_name: dict[str, list[Directive]] = field(default_factory=dict)
     looked: bool = False  # for what guards this level
     found: Directive | None = None
@@ -52,6 +53,18 @@
             scope = scope.outer
         return []
 
+    def constants(self) -> dict[str, str]:
+        """The variables that `set` gives one value here, with no other variable in it: of this level and of
+        the server; what a location around this one sets isn't run for it."""
+        found: dict[str, list[str]] = {}
+        for scope in self.levels():
+            if scope is self or not scope.location:
+                for directive in scope.own("set"):
+                    if len(directive.args) == 2:
+                        found.setdefault(directive.args[0].removeprefix("$"), []).append(directive.args[1])
+        once = {name: values[0] for name, values in found.items() if len(values) == 1}
+        return {name: value for name, value in once.items() if "$" not in value}
+
     def one(self, name: str) -> Directive | None:
         found = self.nearest(name)
         return found[-1] if found else None
--- a/standins/nginx_reference.py
+++ b/standins/nginx_reference.py
@@ -105,6 +105,7 @@
         self.https = self.root.own("http")
         self.upstreams = {block.args[0]: block for http in self.https for block in http.own("upstream")}
         self.maps = {block.args[1]: block for http in self.https for block in http.own("map")}
+        self.set: dict[str, str] = {}  # by `set`, in the request that is followed
 
     # Which server
 
@@ -240,6 +241,7 @@
             raise Unknown("no server listens there")
         path = normalised(asked.path)
         changed = False
+        self.set = {}
         for _ in range(MOST_CYCLES):
             done, path, flag = self._rewritten(server, path, asked, [])
             changed |= flag != ""
@@ -283,6 +285,8 @@
         for each in block.inner:
             if each.name == "return":
                 return self._returned(each.args, path, asked, groups), path, ""
+            if each.name == "set":
+                self.set[each.args[0].removeprefix("$")] = self.value(each.args[1], path, asked, groups)
             if each.name != "rewrite":
                 continue
             found = re.search(each.args[0], path)
@@ -338,12 +342,23 @@
             name = found[1] or found[2]
             if name in names:
                 return names[name]
+            if name in self.set:
+                return self.set[name]
+            block = self.maps.get(f"${name}")
+            if block is not None and [each.name for each in block.inner] == ["default"]:
+                return self.value(block.inner[0].args[0], path, asked, groups)
             if name.startswith("http_"):
                 return given.get(name[5:].replace("_", "-"), "")
             raise Unknown(f"${name}")
 
         return re.sub(r"\$(?:\{(\w+)\}|([1-9]|[A-Za-z_]\w*))", one, text)
 
+    def _settled(self, part: re.Match[str], path: str, asked: Asked) -> str:
+        name = part[1] or part[2]
+        if name in self.set or f"${name}" in self.maps:
+            return self.value(part[0], path, asked, [])
+        return part[0]
+
     def _passed(self, location: Block, path: str, asked: Asked, groups: list[str], changed: bool) -> Outcome:
         """ngx_http_proxy_module, proxy_pass: with a URI, the part of the normalised request URI that matches
         the location is replaced by it; without, the request URI goes on as the client sent it, or, when it
@@ -351,14 +366,17 @@
         passes = location.own("proxy_pass")
         if not passes:
             raise Unknown("files")
-        url = passes[-1].args[0]
-        found = re.fullmatch(r"http://([^/]+)(/.*)?", url)
+        written = passes[-1].args[0]
+        # variables of `set` and maps are known by now; those of the request are kept for what follows
+        known = re.sub(r"\$(?:\{(\w+)\}|([A-Za-z_]\w*))", lambda part: self._settled(part, path, asked),
+                       written)
+        found = re.fullmatch(r"http://([^/]+)(/.*)?", known)
         if found is None or "$" in found[1]:
-            raise Unknown(url)
+            raise Unknown(written)
         group, uri = found[1], found[2] or ""
         query = f"?{asked.query}" if asked.query else ""
         kind, text = self.modifier(location)
-        if uri and "$" in uri:
+        if uri and "$" in written:
             sent = self.value(uri, path, asked, groups)  # passed to the server as is
         elif changed or not uri:
             sent = (path if changed else asked.path) + query
--- a/tests/nginx/test_import.py
+++ b/tests/nginx/test_import.py
@@ -136,6 +136,24 @@
         N,
         "nothing that is imported inherits it",
     ),
+    "a constant": (
+        "set $up shop; location / { proxy_pass http://$up; }",
+        "set",
+        D,
+        "where it is used",
+    ),
+    "a variable that isn't one": (
+        "set $up $host; location / { proxy_pass http://$up; }",
+        "proxy_pass",
+        X,
+        "by variables",
+    ),
+    "a variable that is set twice": (
+        "set $up a; set $up shop; location / { proxy_pass http://$up; }",
+        "proxy_pass",
+        X,
+        "by variables",
+    ),
     "an IPv6 address": ("listen [::1]:8001; location / { proxy_pass http://shop; }", "listen", X, "IPv4"),
 }
 
