attempts of a route's first pool counts for those behind it, as documented

A pool behind the first, with a lower attempts of its own, refused what had used that up before: three attempts of four made, and none for the pool that is well. It leaves fewer than none of its own figure now, and the host goes by the first pool's.

--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -414,7 +414,8 @@
         request.asks = api.RequestArrived(request.ident, request.due_us, call.class_index, call.tenant,
                                           call.key, call.cost_us, call.retried,
                                           earlier_attempts=standing.attempts,
-                                          kept_attempts=kept_attempts(standing, serving, number, most),
+                                          kept_attempts=kept_attempts(standing, serving, number, most,
+                                                                      pool.settings.max_attempts),
                                           barred=barred, preferred=pool.preferred(call))
         if pool.door is None:
             self._let_through(pool, request.ident)
@@ -550,7 +551,7 @@
         address = pool.addresses.get(action.upstream)
         left_us = request.due_us - now_us
         if (request.over or address is None or left_us <= 0 or action.timeout_us < 0
-                or number >= pool.settings.max_attempts
+                or number >= request.pools[0].settings.max_attempts
                 or not self._may_place(attempt, address, request.call)):
             self._end_attempt(request, number, Result(api.Outcome.NOT_SENT))
             return
--- a/tests/decisions/test_failover.py
+++ b/tests/decisions/test_failover.py
@@ -91,10 +91,18 @@
 
 def test_a_pool_leaves_an_attempt_to_each_pool_behind_it() -> None:
     def kept(standing: Standing, *serving: bool, number: int = 0, most: int = 4) -> int:
-        return kept_attempts(standing, serving, number, most)
+        return kept_attempts(standing, serving, number, most, most)
 
     assert kept(tried(), True) == 0 and kept(tried(), True, True) == 1
     assert kept(tried(), True, False, True) == 1  # an empty one needs none
     assert kept(tried(), *[True] * 8) == 3  # and has one itself
     assert kept(tried(Outcome.FULL, Outcome.FULL), True, True, True, number=1) == 1
     assert kept(tried(*[Outcome.FULL] * 3), True, True, True, number=1) == 0
+
+
+def test_the_first_pool_s_figure_counts_for_one_behind_it_with_a_lower_own() -> None:
+    """Three attempts of four were made: a pool with a figure of three has one left, and one with six no more."""
+    standing = Standing(9_000, asked=1, attempts=3)
+    for own in (3, 4, 6):
+        left = own - standing.attempts - kept_attempts(standing, [True, True], 1, 4, own)
+        assert left == 1
