--- a/plovertrail/cli/__init__.py
+++ b/plovertrail/cli/__init__.py
@@ -12,6 +12,7 @@
 from plovertrail.cli.route import route
 from plovertrail.cli.seal import seal
 from plovertrail.cli.serve import serve
+from plovertrail.cli.test import test
 from plovertrail.cli.top import top
 
 
@@ -20,5 +21,5 @@
     """A balancer that keeps its rules when things break."""
 
 
-for command in (serve, check, route, status, drain, undrain, seal, hook, import_nginx, top, demo):
+for command in (serve, check, test, route, status, drain, undrain, seal, hook, import_nginx, top, demo):
     main.add_command(command)
--- a/plovertrail/clock.py
+++ b/plovertrail/clock.py
@@ -3,8 +3,23 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+_nanoseconds: Callable[[], int] = time.monotonic_ns
 
 
 def clock_us() -> int:
     """The module's clock."""
-    return time.monotonic_ns() // 1000
+    return _nanoseconds() // 1000
+
+
+@contextmanager
+def another_clock(nanoseconds: Callable[[], int]) -> Iterator[None]:
+    """Have all decisions in this process go by another clock meanwhile: a rehearsal's."""
+    global _nanoseconds
+    before, _nanoseconds = _nanoseconds, nanoseconds
+    try:
+        yield
+    finally:
+        _nanoseconds = before
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -4,15 +4,17 @@
 
 import asyncio
 import gc
+import hashlib
 import logging
 import os
 import random
 import resource
 import signal
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import replace
 from functools import partial
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from plovertrail.clock import clock_us
@@ -46,6 +48,8 @@
 STOP_READING_S = 5.0  # after SIGTERM, for a request that has come in part
 STOP_SLACK_S = 1.0
 BACKLOG = 1024
+Connect = Callable[[operator.Pool, AnswerRules], ConnectionPool]
+Approve = Callable[[str], Awaitable[str]]  # what is wrong with a file; empty: nothing
 PIPELINED = 64 * 1024 + 256 * 1024  # where reading stops, and the loop's last read
 
 
@@ -81,11 +85,25 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (needed, hard))
 
 
+def connect(config: operator.Pool, rules: AnswerRules) -> ConnectionPool:
+    """The connections of a pool."""
+    return ConnectionPool(config.idle_us, config.settings.connect_timeout_us, most=config.max_connections,
+                          rules=rules)
+
+
 def random_seed() -> int:
     """For the random draws of one Balancer."""
     return int.from_bytes(os.urandom(8))
 
 
+def digest(path: str) -> bytes:
+    """Tells a file's bytes from others; nothing where it can't be read."""
+    try:
+        return hashlib.sha256(Path(path).read_bytes()).digest()
+    except OSError:
+        return b""
+
+
 def settle_heap() -> None:
     """What a daemon holds once it serves stays, by and large. Hazard: the collector would go through all of
     it each time that a long list comes, and hold all threads up meanwhile."""
@@ -152,14 +170,12 @@
     """A pool in force: what was configured, its place in the host, and its connections."""
 
     def __init__(self, host: Host, config: operator.Pool, max_answer: int, roster: Roster, seed: int,
-                 chosen_by: tuple[int, str]) -> None:
+                 chosen_by: tuple[int, str], connect: Connect) -> None:
         self.config = config
         self.chosen_by = chosen_by  # this instance's number, and which servers are chosen together
         self.max_answer = max_answer
         self.roster = roster
-        self.connections = ConnectionPool(
-            config.idle_us, config.settings.connect_timeout_us, most=config.max_connections,
-            rules=AnswerRules(max_answer, FAULTS, until_close=True))
+        self.connections = connect(config, AnswerRules(max_answer, FAULTS, until_close=True))
         self.pool = host.add_pool(config.name, config.settings, seed, self.connections)
         self.budget = share.Budget()
         self.overdrawn = ""
@@ -200,7 +216,10 @@
 class Daemon:
     """One process's listeners and pools under the setup in force."""
 
-    def __init__(self, setup: operator.Setup, seeds: Callable[[], int] = random_seed) -> None:
+    def __init__(self, setup: operator.Setup, seeds: Callable[[], int] = random_seed,
+                 connect: Connect = connect) -> None:
+        self.connect = connect
+        self.approve: Approve | None = None  # what a file must pass before it is taken on a reload
         self.loop = asyncio.get_running_loop()
         self.seeds = seeds
         self.host = Host()
@@ -250,7 +269,7 @@
                 roster.pool = None
                 roster.configure(config.servers, sources, config.guards, config.home_zone, fresh)
                 pool = RunningPool(self.host, config, setup.limits.max_answer, roster, self.seeds(),
-                                   chosen_by)
+                                   chosen_by, self.connect)
                 roster.attach(pool.pool)
             else:
                 pool.config = config
@@ -356,6 +375,9 @@
             raise ConfigError(setup.path, problems)
         return sockets
 
+    def _open(self, front: OrdinaryFront, sock: socket.socket) -> None:
+        front.listen_on(sock)
+
     def _move_listeners(self, setup: operator.Setup, sockets: dict[str, socket.socket]) -> None:
         self.closing = [front for front in self.closing if front.count()]
         before, self.fronts = self.fronts, {}
@@ -363,7 +385,7 @@
             front = before.get(listener.name)
             if listener.name in sockets:
                 front = OrdinaryFront(self.host, self.current, listener, self.sockets)
-                front.listen_on(sockets[listener.name])
+                self._open(front, sockets[listener.name])
             else:
                 assert front is not None
                 del before[listener.name]
@@ -380,7 +402,13 @@
         path = self.generation.setup.path
         try:
             # hazard: a long file takes long to check, and every open request would wait for it
+            before = await asyncio.to_thread(digest, path)
+            wrong = await self.approve(path) if self.approve is not None else ""
             setup = await asyncio.to_thread(operator.load, path)
+            if not wrong and await asyncio.to_thread(digest, path) != before:
+                wrong = "it changed while it was read"  # hazard: what was held to tests would be another file
+            if wrong:
+                raise ConfigError(path, [Problem("", wrong)])
             known = frozenset(key for pool in self.pools.values() for key in pool.config.lists)
             fresh = await asyncio.to_thread(read_lists, setup, known)
             self.apply(setup, fresh, await asyncio.to_thread(self.hooks.prepare, setup))
@@ -464,15 +492,17 @@
             log.error("lines on sockets that have ended could not be written")
 
 
-async def serve(setup: operator.Setup, started: Callable[[Daemon], None] | None = None) -> None:
-    """Serve until SIGTERM or SIGINT, then answer what is open; SIGHUP reads the file again. Raises
-    ConfigError if it can't start."""
+async def serve(setup: operator.Setup, started: Callable[[Daemon], None] | None = None,
+                approve: Approve | None = None) -> None:
+    """Serve until SIGTERM or SIGINT, then answer what is open; SIGHUP reads the file again, and takes it if
+    `approve` finds nothing wrong. Raises ConfigError if it can't start."""
     stop, hangup = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     signals = {signal.SIGTERM: stop.set, signal.SIGINT: stop.set, signal.SIGHUP: hangup.set}
     for number, handler in signals.items():
         loop.add_signal_handler(number, handler)
     daemon = Daemon(setup)
+    daemon.approve = approve
     await daemon.control.start()
     settle_heap()
     for name, address in daemon.addresses().items():
--- /dev/null
+++ b/plovertrail/rehearsal/play.py
@@ -0,0 +1,170 @@
+"""Plays one scenario with one seed, from the first request till all are answered."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Collection
+from dataclasses import dataclass, field, replace
+
+from plovertrail.clock import another_clock, clock_us
+from plovertrail.config import operator
+from plovertrail.decisions.membership import Entry
+from plovertrail.rehearsal.daemon import Asked, PlayedClient, PlayedDaemon
+from plovertrail.rehearsal.loop import VirtualLoop
+from plovertrail.rehearsal.servers import Behaviour
+from plovertrail.rehearsal.written import Event, Load, Scenario
+
+SETTLE_US = 1_000_000  # before the first request
+SLACK_US = 1_000_000  # after the last deadline
+
+
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """What became of a server, and when."""
+
+    at_us: int
+    pool: str
+    server: str
+    move: str
+
+
+@dataclass
+class Played:
+    """All that happened."""
+
+    seed: int
+    setup: operator.Setup
+    zero_us: int  # the scenario's time 0
+    asked: list[Asked] = field(default_factory=list)
+    moved: list[Moved] = field(default_factory=list)
+    told: list[tuple[int, str]] = field(default_factory=list)  # events, for traces
+    open_left: int = 0  # requests and attempts that the host still holds at the end
+
+    def time(self, at_us: int) -> str:
+        """As traces have it, from the scenario's 0 on."""
+        return f"{(at_us - self.zero_us) / 1000:.3f} ms"
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request of a load, drawn ahead, so that some can be left out when a failure is shrunk."""
+
+    number: int
+    at_us: int
+    load: Load
+
+
+def arrivals(scenario: Scenario, seed: int) -> list[Arrival]:
+    """The requests of a scenario in the order of their times."""
+    rng = random.Random(seed)
+    found: list[tuple[int, Load]] = []
+    for load in scenario.loads:
+        if load.count:
+            found += [(load.at_us, load)] * load.count
+        at = float(load.at_us)
+        while load.rate and (at := at + rng.expovariate(load.rate) * 1e6) < load.until_us:
+            found.append((int(at), load))
+    found.sort(key=lambda pair: pair[0])
+    return [Arrival(number, at_us, load) for number, (at_us, load) in enumerate(found)]
+
+
+class Player:
+    def __init__(
+        self, setup: operator.Setup, scenario: Scenario, seed: int, only: Collection[int] | None
+    ) -> None:
+        self.scenario = scenario
+        self.seed = seed
+        self.only = only
+        self.behaviours: dict[tuple[str, str], Behaviour] = {}
+        self.usual = Behaviour()
+        self.daemon = PlayedDaemon(
+            setup, seed, lambda pool, server: self.behaviours.get((pool, server), self.usual)
+        )
+        self.gone: dict[tuple[str, str], Entry] = {}
+        self.played = Played(seed, setup, clock_us() + SETTLE_US)
+
+    async def play(self) -> Played:
+        loop, played = asyncio.get_running_loop(), self.played
+        for event in self.scenario.events:
+            loop.call_at((played.zero_us + event.at_us) / 1e6, self.happens, event)
+        last_us = max([event.at_us for event in self.scenario.events], default=0)
+        for arrival in arrivals(self.scenario, self.seed):
+            if self.only is None or arrival.number in self.only:
+                loop.call_at((played.zero_us + arrival.at_us) / 1e6, self.asks, arrival)
+                last_us = max(last_us, arrival.at_us)
+        longest_us = max(kind.deadline_us for kind in played.setup.classes)
+        await asyncio.sleep((SETTLE_US + last_us + longest_us + SLACK_US) / 1e6)
+        played.asked = self.daemon.asked
+        played.open_left = len(self.daemon.host.requests)
+        return played
+
+    def asks(self, arrival: Arrival) -> None:
+        load = arrival.load
+        ident = b"%d" % arrival.number
+        text = f"{load.asks.method} http://{load.asks.host}{load.asks.target}"
+        asked = Asked(arrival.number, text, 0, load.name, ident)
+        client = self.daemon.ask(
+            load.asks.listener, load.asks.address, load.asks.head(ident, load.body), asked
+        )
+        if load.leaves_us:
+            asyncio.get_running_loop().call_later(load.leaves_us / 1e6, self.leaves, client)
+
+    @staticmethod
+    def leaves(client: PlayedClient) -> None:
+        if not client.asked.answers:
+            client.leave()
+
+    def happens(self, event: Event) -> None:
+        now_us = clock_us()
+        if event.reload:
+            self.played.told.append((now_us, f"reload: {event.reload}"))
+            self.daemon.follow(operator.load(event.reload))
+            return
+        where = f"{event.pool}/{event.server}"
+        if event.behaviour is not None:
+            self.behaviours[event.pool, event.server] = event.behaviour
+            self.played.told.append(
+                (
+                    now_us,
+                    f"{where}: {event.behaviour.does.value}, after {event.behaviour.after_us / 1000:g} ms",
+                )
+            )
+            return
+        self.played.told.append((now_us, f"{where}: {event.move}"))
+        if event.move in ("drain", "undrain"):
+            self.daemon.drain(event.pool, event.server, event.move == "drain")
+        elif event.move == "gone":
+            entries = self.daemon.pools[event.pool].roster.state.members
+            if event.server in entries:
+                self.gone[event.pool, event.server] = entries[event.server].entry
+            self.daemon.change_servers(
+                event.pool, lambda listed: tuple(entry for entry in listed if entry.id != event.server)
+            )
+        else:
+            back = self.gone.pop((event.pool, event.server), None)
+            if back is not None:
+                # what has just started is told so, whatever the list knew before
+                back = replace(back, started_us=now_us)
+                self.daemon.change_servers(event.pool, lambda listed: (*listed, back))
+        self.played.moved.append(Moved(now_us, event.pool, event.server, event.move))
+
+
+def play(setup: operator.Setup, scenario: Scenario, seed: int, only: Collection[int] | None = None) -> Played:
+    """Play a scenario; `only` names the requests that come, all if None."""
+    loop = VirtualLoop(seed)
+    before = logging.root.manager.disable
+    logging.disable(logging.CRITICAL)  # what the daemon would log is in the trace, as far as it matters
+    try:
+        with another_clock(loop.nanoseconds):
+            asyncio.set_event_loop(loop)
+
+            async def whole() -> Played:
+                return await Player(setup, scenario, seed, only).play()
+
+            return loop.run_until_complete(whole())
+    finally:
+        logging.disable(before)
+        asyncio.set_event_loop(None)
+        loop.close()
--- /dev/null
+++ b/plovertrail/rehearsal/run.py
@@ -0,0 +1,184 @@
+"""Runs a file of expectations against a setup: what broke, with its trace, and what was never touched."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from plovertrail.config.operator import EFFECTS, Setup
+from plovertrail.decisions.requests import TurnedAway, read_head, route_request, tenant_of, told_by
+from plovertrail.rehearsal.judge import Broken, Coverage, expected, rules, trace
+from plovertrail.rehearsal.play import Played, arrivals, play
+from plovertrail.rehearsal.written import Expectations, OneRequest, Scenario
+
+MOST_TOLD = 3  # broken requests of one expectation that are told
+SHRINK_PLAYS = 40
+WORDS = {ours: word for word, ours in EFFECTS.items()}
+
+
+@dataclass(slots=True)
+class Result:
+    """Of one request or scenario."""
+
+    name: str
+    place: str
+    failures: list[str] = field(default_factory=list)  # each with its trace
+
+
+@dataclass
+class Report:
+    results: list[Result] = field(default_factory=list)
+    untouched: list[str] = field(default_factory=list)
+
+    @property
+    def failed(self) -> list[Result]:
+        return [result for result in self.results if result.failures]
+
+
+def run(setup: Setup, files: list[Expectations]) -> Report:
+    """Hold a setup to all of them."""
+    report, coverage = Report(), Coverage()
+    for each in files:
+        for one in each.requests:
+            report.results.append(hold(setup, one, coverage))
+        for scenario in each.scenarios:
+            report.results.append(rehearse(setup, scenario, coverage))
+    report.untouched = coverage.missing(setup)
+    return report
+
+
+def hold(setup: Setup, one: OneRequest, coverage: Coverage) -> Result:
+    """One request, whatever the servers do: what the routes make of it."""
+    result = Result(one.name, one.place)
+    found = decided(setup, one, coverage)
+    for key, wanted in one.wanted.items():
+        got = found.get(key)
+        if key == "sends":
+            sent = found.get("sends")
+            got = {name: sent.get(name.lower()) for name in wanted} if isinstance(sent, dict) else None
+        if got != wanted:
+            result.failures.append(f"{key} is {got!r}, not {wanted!r}; route {found.get('route') or 'none'}")
+    return result
+
+
+def decided(setup: Setup, one: OneRequest, coverage: Coverage) -> dict[str, object]:
+    """What becomes of a request, as the front would have it."""
+    asks = one.asks
+    headers: dict[bytes, bytes] = {}
+    for name, value in asks.headers:
+        key, plain = name.lower().encode("latin-1"), value.encode("latin-1")
+        headers[key] = headers[key] + b", " + plain if key in headers else plain
+    hosts = [asks.host.encode("latin-1")]
+    target = asks.target.encode("latin-1")
+    try:
+        head, path, authority = read_head(asks.method.encode(), target, "1.1", hosts, headers, asks.listener)
+        routed = route_request(setup.routes, head, path, authority)
+    except TurnedAway as away:
+        return {"status": away.status, "route": ""}
+    route = routed.route
+    coverage.routes.add(route.name)
+    port = next(each.address[1] for each in setup.listeners if each.name == asks.listener)
+    values = told_by(head, path, authority, target, asks.address, asks.address, b"", port, route)
+    if route.answers is not None:
+        fixed = route.answers
+        where = fixed.location.filled(values) if fixed.location is not None else ""
+        return {"status": fixed.status, "route": route.name, "location": where}
+    coverage.pools.update(route.pools)
+    coverage.classes.add(route.class_name)
+    sends = {
+        name.decode(): value.decode("latin-1")
+        for name, value in headers.items()
+        if name not in route.remove_headers
+    }
+    sends["host"] = asks.host
+    sends |= {name.decode().lower(): value.decode("latin-1") for name, value in route.set_headers}
+    sends |= {name.decode().lower(): value.filled(values) for name, value in route.filled_headers}
+    return {
+        "route": route.name,
+        "class": route.class_name,
+        "pools": list(route.pools),
+        "tenant": tenant_of(route, head, asks.address).decode("latin-1"),
+        "target": routed.target.decode("latin-1"),
+        "sends": sends,
+    }
+
+
+def broken_of(played: Played, scenario: Scenario, matched: Counter[str]) -> list[Broken]:
+    """All that broke in one play."""
+    found = list(rules(played))
+    for wanted in scenario.expect:
+        found += expected(played, wanted, matched)
+    return found
+
+
+def rehearse(setup: Setup, scenario: Scenario, coverage: Coverage) -> Result:
+    """One scenario over its seeds. The first seed that breaks something is told, shrunk."""
+    result = Result(scenario.name, scenario.place)
+    matched: Counter[str] = Counter()
+    for seed in range(scenario.seeds):
+        played = play(setup, scenario, seed)
+        coverage.saw(played)
+        found = broken_of(played, scenario, matched)
+        if found:
+            result.failures += told(setup, scenario, seed, found)
+            return result
+    for wanted in scenario.expect:
+        if not matched[wanted.place]:
+            result.failures.append(f"{wanted.place}: vacuous: nothing came that it could have failed on")
+    return result
+
+
+def told(setup: Setup, scenario: Scenario, seed: int, found: list[Broken]) -> list[str]:
+    """What broke with a seed, each place once, with the fewest requests that still break it."""
+    lines = []
+    for place in dict.fromkeys(broken.place for broken in found):
+        kept = shrunk(setup, scenario, seed, place)
+        played = play(setup, scenario, seed, kept)
+        again = [each for each in broken_of(played, scenario, Counter()) if each.place == place]
+        count = sum(each.place == place for each in found)
+        few = f"shrunk to {len(kept)} requests" if kept is not None else "not shrunk"
+        for broken in again[:1]:
+            lines.append(
+                "\n".join(
+                    [
+                        f"{place}: {broken.text} (seed {seed}, {few}; {count} times in the whole play)",
+                        *trace(played, broken.asked),
+                    ]
+                )
+            )
+    return lines
+
+
+def shrunk(setup: Setup, scenario: Scenario, seed: int, place: str) -> list[int] | None:
+    """Delta debugging (Zeller and Hildebrandt, "Simplifying and Isolating Failure-Inducing Input", IEEE TSE
+    28, 2002): the numbers of few requests that still break a place, after so many plays at most."""
+
+    def breaks(numbers: list[int]) -> bool:
+        played = play(setup, scenario, seed, frozenset(numbers))
+        return any(broken.place == place for broken in broken_of(played, scenario, Counter()))
+
+    kept = [arrival.number for arrival in arrivals(scenario, seed)]
+    parts, plays = 2, 0
+    while len(kept) > 1 and plays < SHRINK_PLAYS:
+        size = -(-len(kept) // parts)
+        pieces = [kept[at : at + size] for at in range(0, len(kept), size)]
+        for number in range(len(pieces)):
+            # one piece alone, or all but one
+            alone, rest = (
+                pieces[number],
+                [each for piece in pieces[:number] + pieces[number + 1 :] for each in piece],
+            )
+            plays += 2
+            if breaks(alone):
+                kept, parts = alone, 2
+                break
+            if len(pieces) > 2 and breaks(rest):
+                kept, parts = rest, max(2, parts - 1)
+                break
+            if plays >= SHRINK_PLAYS:
+                break
+        else:
+            if parts >= len(kept):
+                break
+            parts = min(len(kept), 2 * parts)
+    return kept if breaks(kept) else None
--- /dev/null
+++ b/plovertrail/rehearsal/servers.py
@@ -0,0 +1,115 @@
+"""Servers that are played: what is sent to them is told, and what comes back is as the scenario says."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from collections.abc import Callable, Container
+from dataclasses import dataclass, field
+
+from plovertrail.decisions.interface import Outcome
+from plovertrail.decisions.share import Budget
+from plovertrail.exchange import Call, Result
+
+USUAL_US = 20_000
+REFUSED_US = 200  # a refused connection is told so soon
+
+
+class Does(enum.Enum):
+    """What a server does with a request."""
+
+    OK = "ok"
+    ERROR = "error"  # answers with a status of its own
+    FULL = "full"  # 503 with X-Not-Run: 1
+    REFUSE = "refuse"  # takes no connection
+    RESET_EARLY = "reset-early"  # breaks the connection before the last byte has been written
+    RESET_LATE = "reset-late"  # and after it
+    SILENT = "silent"
+
+
+@dataclass(frozen=True, slots=True)
+class Behaviour:
+    does: Does = Does.OK
+    after_us: int = USUAL_US
+    status: int = 500  # of an error
+
+
+NEVER_RAN = (Does.FULL, Does.REFUSE, Does.RESET_EARLY)
+OUTCOMES = {
+    Does.OK: Outcome.OK,
+    Does.ERROR: Outcome.ERROR,
+    Does.FULL: Outcome.FULL,
+    Does.REFUSE: Outcome.CONNECT_FAILED,
+    Does.RESET_EARLY: Outcome.CONNECT_FAILED,
+    Does.RESET_LATE: Outcome.RESET,
+}
+
+
+class PlayedFlight:
+    """An attempt that is out."""
+
+    def __init__(self, does: Does) -> None:
+        self.written = does is not Does.REFUSE
+        self.timer: asyncio.TimerHandle | None = None
+        self.given_up: Callable[[], None] = lambda: None
+
+    def give_up(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.given_up()
+
+
+Sent = Callable[[str, int, tuple[str, int], Call, Behaviour], Callable[[str], None]]
+
+
+@dataclass
+class PlayedServers:
+    """The side of the servers of one pool. `sent` is told of each attempt, and gives what is to be told of
+    its end; `behaviour` says what the server at an address does now."""
+
+    pool: str
+    sent: Sent
+    behaviour: Callable[[tuple[str, int]], Behaviour]
+    loop: asyncio.AbstractEventLoop = field(default_factory=asyncio.get_running_loop)
+
+    def start(
+        self,
+        upstream: int,
+        address: tuple[str, int],
+        call: Call,
+        timeout_us: int,
+        ended: Callable[[Result], None],
+    ) -> PlayedFlight:
+        behaviour = self.behaviour(address)
+        over = self.sent(self.pool, upstream, address, call, behaviour)
+        flight = PlayedFlight(behaviour.does)
+        flight.given_up = lambda: over("given up")
+        if behaviour.does is not Does.SILENT:
+            result = Result(OUTCOMES[behaviour.does])
+            if behaviour.does is Does.OK:
+                result = Result(Outcome.OK, 200, [], b"played")
+            elif behaviour.does is Does.ERROR:
+                result = Result(Outcome.ERROR, behaviour.status, [], b"")
+
+            def end() -> None:
+                over(behaviour.does.value)
+                ended(result)
+
+            after_us = REFUSED_US if behaviour.does is Does.REFUSE else behaviour.after_us
+            flight.timer = self.loop.call_later(after_us / 1e6, end)
+        return flight
+
+    def shut(self, new: bool) -> Container[int]:
+        return ()
+
+    def next_dial_us(self) -> int:
+        return 0
+
+    def close_idle(self, upstream: int) -> None:
+        pass
+
+    def forget(self, upstream: int) -> None:
+        pass
+
+    def limit(self, budget: Budget, turn: float) -> None:
+        pass
--- /dev/null
+++ b/tests/rehearsal/test_run.py
@@ -0,0 +1,303 @@
+"""Files of expectations: what holds, what breaks and how it is told, what can't fail."""
+
+from __future__ import annotations
+
+import json
+import time
+import xml.etree.ElementTree as ElementTree
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from plovertrail.cli import main
+from plovertrail.config.operator import load
+from plovertrail.config.problems import ConfigError
+from plovertrail.rehearsal.run import Report, run
+from plovertrail.rehearsal.written import load_expectations
+
+ROOT = Path(__file__).resolve().parents[2]
+SITE = """
+[listeners.web]
+address = "127.0.0.1:8080"
+[classes.read]
+effect = "safe"
+aim = "400ms"
+deadline = "2s"
+[classes.buy]
+effect = "unsafe"
+aim = "400ms"
+deadline = "2s"
+[classes.mark]
+effect = "keyed"
+key_header = "Idempotency-Key"
+memory = "8s"
+group = "cell"
+aim = "400ms"
+deadline = "2s"
+[pools.main]
+warm_up = "4s"
+servers = [
+    { id = "a", address = "127.0.0.1:9001", cell = "1" },
+    { id = "b", address = "127.0.0.1:9002", cell = "1" },
+    { id = "c", address = "127.0.0.1:9003", cell = "2" },
+]
+[pools.spare]
+servers = [{ id = "z", address = "127.0.0.1:9009" }]
+[[routes]]
+name = "buy"
+path = "/buy"
+class = "buy"
+pools = ["main", "spare"]
+[[routes]]
+name = "mark"
+path = "/mark"
+class = "mark"
+pools = ["main"]
+[[routes]]
+name = "rest"
+class = "read"
+pools = ["main"]
+"""
+LOAD = (
+    'loads = [{ name = "all", ask = "%s http://h%s", headers = { Idempotency-Key = "k" }, rate = %d, '
+    'until = "2s" }]\n'
+)
+
+
+def scenario(*lines: str, method: str = "POST", path: str = "/buy", rate: int = 50, seeds: int = 2) -> str:
+    return "\n".join(
+        ["[[scenarios]]", 'name = "it"', f"seeds = {seeds}", LOAD % (method, path, rate), *lines, ""]
+    )
+
+
+def held(folder: Path, text: str, site: str = SITE) -> Report:
+    file, expect = folder / "site.toml", folder / "it.expect.toml"
+    file.write_text(site)
+    expect.write_text(text)
+    setup = load(str(file))
+    return run(setup, [load_expectations(str(expect), setup)])
+
+
+def told(folder: Path, text: str, site: str = SITE) -> str:
+    """All that broke."""
+    return "\n".join(line for result in held(folder, text, site).failed for line in result.failures)
+
+
+def test_the_example_beside_the_example_holds_and_touches_all() -> None:
+    setup = load(str(ROOT / "deploy/plovertrail.toml"))
+    report = run(setup, [load_expectations(str(ROOT / "deploy/plovertrail.expect.toml"), setup)])
+    assert not report.failed and not report.untouched and len(report.results) >= 12
+
+
+REQUESTS: dict[str, tuple[str, str]] = {
+    "route": ('ask = "POST http://h/buy"\nroute = "rest"', "route is 'buy', not 'rest'"),
+    "class": ('ask = "POST http://h/buy"\nclass = "read"', "class is 'buy', not 'read'"),
+    "pools": ('ask = "POST http://h/buy"\npools = ["main"]', "pools is ['main', 'spare'], not ['main']"),
+    "target": ('ask = "POST http://h/buy?x=1"\ntarget = "/buy"', "target is '/buy?x=1', not '/buy'"),
+    "a method": ('ask = "POST http://h/"\nroute = "rest"', "route is '', not 'rest'; route none"),
+    "status": ('ask = "POST http://h/"\nstatus = 404', "status is 405, not 404"),
+    "sends": (
+        'ask = "POST http://h/buy"\nsends = { Host = "x" }',
+        "sends is {'Host': 'h'}, not {'Host': 'x'}",
+    ),
+    "a bad path": ('ask = "POST http://h/%2Fx"\nroute = "rest"', "route is '', not 'rest'"),
+}
+
+
+@pytest.mark.parametrize("name", REQUESTS)
+def test_what_a_request_is_to_the_routes(name: str, tmp_path: Path) -> None:
+    text, why = REQUESTS[name]
+    assert why in told(tmp_path, f"[[requests]]\n{text}\n")
+
+
+BROKEN: dict[str, tuple[str, str]] = {
+    "never_to": ('expect = [{ never_to = ["main/a"] }]', "sent to main/a"),
+    "only_to": (
+        'expect = [{ only_to = ["main/a", "main/b"] }]',
+        "sent to main/c, which only_to doesn't name",
+    ),
+    "status": ("expect = [{ status = [404] }]", "answered 200, not 404"),
+    "within": ('expect = [{ within = "10ms" }]', "answered after 20.0"),
+    "attempts": ("expect = [{ attempts = [2, 3] }]", "1 attempts, not 2 to 3"),
+    "served": ("expect = [{ served = [0, 10] }]", "% served, not 0 to 10"),
+    "refused": ("expect = [{ refused = [90, 100] }]", "% refused, not 90 to 100"),
+    "share": ('expect = [{ share = { "main/a" = [90, 100] } }]', "% of the attempts, not 90 to 100"),
+    "no Retry-After": (
+        'events = [{ at = "0s", server = "main/a", move = "drain" }, '
+        '{ at = "0s", server = "main/b", move = "gone" }, { at = "0s", server = "main/c", move = "gone" }, '
+        '{ at = "0s", server = "spare/z", move = "gone" }]\n'
+        "expect = [{ retry_after = true, status = [200] }]",
+        "answered 503, not 200",
+    ),
+}
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_what_a_scenario_expects_may_break_and_is_told_with_a_trace(name: str, tmp_path: Path) -> None:
+    text, why = BROKEN[name]
+    found = told(tmp_path, scenario(text))
+    assert why in found and "scenarios[0]" in found and "(seed 0, shrunk to" in found
+    if name not in ("share",):
+        assert "request  POST http://h/buy (route buy, class buy)" in found and " ms  " in found
+
+
+VACUOUS = {
+    "nobody comes": 'expect = [{ since = "9s", never_to = ["main/a"] }]',
+    "no attempt is a second one": 'expect = [{ same = "cell" }]',
+    "another route": 'expect = [{ route = "mark", status = [200] }]',
+    "nothing is refused": 'expect = [{ since = "1s", retry_after = true }]',
+}
+
+
+@pytest.mark.parametrize("name", VACUOUS)
+def test_what_could_not_have_failed_is_told(name: str, tmp_path: Path) -> None:
+    assert "vacuous" in told(tmp_path, scenario(VACUOUS[name]))
+
+
+WRONG: dict[str, tuple[str, str]] = {
+    "nothing": ("", "nothing is expected"),
+    "no TOML": ("[[requests", "it can't be read"),
+    "a request of which nothing is expected": ('[[requests]]\nask = "GET http://h/"', "so it can't fail"),
+    "no request": ('[[requests]]\nask = "GET /"\nroute = "rest"', "is no request"),
+    "no route of the name": ('[[requests]]\nask = "GET http://h/"\nroute = "rset"', 'did you mean "rest"'),
+    "an answer here and a class": (
+        '[[requests]]\nask = "GET http://h/"\nclass = "read"\nstatus = 404',
+        "contradict it",
+    ),
+    "no server of the name": (
+        scenario('expect = [{ never_to = ["main/x"] }]'),
+        'no server is called "main/x"',
+    ),
+    "all servers": (
+        scenario('expect = [{ only_to = ["main/a", "main/b", "main/c", "spare/z"] }]'),
+        "can't fail",
+    ),
+    "all there is": (scenario("expect = [{ served = [0, 100] }]"), "can't fail"),
+    "no span": (scenario("expect = [{ served = [50, 10] }]"), "is no span"),
+    "both": (scenario('expect = [{ only_to = ["main/a"], never_to = ["main/a"] }]'), "contradict each other"),
+    "an expectation of nothing": (scenario('expect = [{ of = "all" }]'), "so it can't fail"),
+    "no load of the name": (scenario('expect = [{ of = "al", status = [200] }]'), 'did you mean "all"'),
+    "no behaviour": (scenario('events = [{ at = "0s", server = "main/a", does = "dance" }]'), "no behaviour"),
+    "two events in one": (
+        scenario('events = [{ at = "0s", server = "main/a", does = "ok", move = "drain" }]'),
+        "one of does, move and reload",
+    ),
+    "slow, not how slow": (
+        scenario('events = [{ at = "0s", server = "main/a", does = "slow" }]'),
+        "how slow",
+    ),
+    "no load": ('[[scenarios]]\nname = "x"\nloads = []', "nothing is asked"),
+    "rate and count": (
+        '[[scenarios]]\nname = "x"\nloads = [{ ask = "GET http://h/", rate = 1, count = 1 }]',
+        "either rate and until, or count",
+    ),
+}
+
+
+@pytest.mark.parametrize("name", WRONG)
+def test_a_file_that_can_t_be_used_is_told_with_its_place(name: str, tmp_path: Path) -> None:
+    text, why = WRONG[name]
+    with pytest.raises(ConfigError) as caught:
+        held(tmp_path, text)
+    assert why in str(caught.value)
+
+
+def test_a_drain_holds_from_its_microsecond_on(tmp_path: Path) -> None:
+    """Requests of the drain's own microsecond may come before or after it; none of the next."""
+    text = scenario(
+        'events = [{ at = "1s", server = "main/a", move = "drain" }]',
+        'expect = [{ since = "1000001us", never_to = ["main/a"] }]',
+        seeds=20,
+    )
+    burst = (
+        '[[scenarios]]\nname = "burst"\nseeds = 20\n'
+        'loads = [{ ask = "POST http://h/buy", at = "1s", count = 40 }]\n'
+        'events = [{ at = "1s", server = "main/a", move = "drain" }]\n'
+        'expect = [{ since = "1000001us", until = "3s", only_to = ["main/b", "main/c", "spare/z"] }]\n'
+    )
+    report = held(tmp_path, text + burst)
+    assert not report.results[0].failures
+    # all attempts of the burst are of that one microsecond, or wait for a slot and go elsewhere
+    assert not report.results[1].failures
+
+
+def test_a_reload_in_mid_request_keeps_each_request_s_class(tmp_path: Path) -> None:
+    """A purchase that is open when its route becomes a safe one is still sent once."""
+    (tmp_path / "other.toml").write_text(
+        SITE.replace(
+            'name = "buy"\npath = "/buy"\nclass = "buy"',
+            'name = "buy"\npath = "/buy"\nclass = "read"\nmethods = ["POST"]',
+        )
+    )
+    text = scenario(
+        'events = [{ at = "0s", server = "main/a", does = "reset-late", after = "300ms" },',
+        '{ at = "0s", server = "main/b", does = "reset-late", after = "300ms" },',
+        '{ at = "0s", server = "main/c", does = "reset-late", after = "300ms" },',
+        '{ at = "1s", reload = "other.toml" }]',
+        'expect = [{ until = "999999us", class = "buy", attempts = [0, 1] },',
+        '{ since = "1000001us", class = "read", attempts = [1, 9] }]',
+        rate=20,
+        seeds=4,
+    )
+    found = held(tmp_path, text)
+    assert not [
+        line for result in found.failed for line in result.failures if "rule" in line or "expect[0]" in line
+    ]
+
+
+@pytest.mark.parametrize("does", ["ok", "error", "full", "refuse", "reset-early", "reset-late", "silent"])
+@pytest.mark.parametrize("path", ["/buy", "/mark", "/x"])
+def test_the_rules_hold_whatever_servers_do(does: str, path: str, tmp_path: Path) -> None:
+    events = ", ".join(
+        f'{{ at = "0s", server = "main/{name}", does = "{does}", after = "30ms" }}' for name in "abc"
+    )
+    text = scenario(
+        f'events = [{events}, {{ at = "700ms", server = "main/b", move = "drain" }},',
+        '{ at = "900ms", server = "main/c", move = "gone" },',
+        '{ at = "1s", server = "main/c", move = "join" }]',
+        method="GET" if path == "/x" else "POST",
+        path=path,
+        rate=40,
+    )
+    assert not told(tmp_path, text)
+
+
+def test_ten_thousand_expectations_take_seconds(tmp_path: Path) -> None:
+    rows = "".join(
+        f'[[requests]]\nask = "POST http://h/buy/{number}"\nroute = "buy"\n' for number in range(10_000)
+    )
+    began = time.process_time()
+    report = held(tmp_path, rows)
+    assert len(report.results) == 10_000 and not report.failed
+    assert time.process_time() - began < 60  # a bound against growth with the square, and no measure of speed
+
+
+def test_the_command_tells_in_all_its_forms(tmp_path: Path) -> None:
+    site, expect, junit = tmp_path / "site.toml", tmp_path / "site.expect.toml", tmp_path / "out.xml"
+    site.write_text(SITE)
+    expect.write_text('[[requests]]\nask = "POST http://h/buy"\nroute = "buy"\n')
+    call = CliRunner().invoke
+    good = call(main, ["test", str(site)])
+    assert (
+        good.exit_code == 0 and "1 hold, 0 broken" in good.stdout and "untouched: route mark" in good.stdout
+    )
+    expect.write_text('[[requests]]\nask = "POST http://h/buy"\nroute = "rest"\n')
+    bad = call(main, ["test", str(site), "--json", "--junit", str(junit)])
+    said = json.loads(bad.stdout)
+    assert bad.exit_code == 1 and said["failed"] == 1 and "route is 'buy'" in said["failures"][0]["told"][0]
+    suite = ElementTree.parse(junit).getroot()
+    assert suite.get("failures") == "1" and "route is 'buy'" in (suite[0][0].get("message") or "")
+    assert call(main, ["test", str(site), "--expect", str(tmp_path / "none")]).exit_code == 2
+
+
+def test_a_first_set_of_expectations_holds_as_it_is_written(tmp_path: Path) -> None:
+    for file in (ROOT / "deploy/plovertrail.toml", tmp_path / "site.toml"):
+        if file.name == "site.toml":
+            file.write_text(SITE)
+        made = CliRunner().invoke(main, ["test", str(file), "--init"])
+        setup = load(str(file))
+        expect = tmp_path / "first.toml"
+        expect.write_text(made.stdout)
+        report = run(setup, [load_expectations(str(expect), setup)])
+        assert made.exit_code == 0 and len(report.results) >= 3 and not report.failed
