--- a/tests/decisions/test_failover.py
+++ b/tests/decisions/test_failover.py
@@ -101,7 +101,7 @@
 
 
 def test_the_first_pool_s_figure_counts_for_one_behind_it_with_a_lower_own() -> None:
-    """Three attempts of four were made: a pool with a figure of three has one left, and one with six no more."""
+    """Three attempts of four were made: a pool has one left, whether its own figure is three or six."""
     standing = Standing(9_000, asked=1, attempts=3)
     for own in (3, 4, 6):
         left = own - standing.attempts - kept_attempts(standing, [True, True], 1, 4, own)
