--- a/plovertrail/rehearsal/daemon.py
+++ b/plovertrail/rehearsal/daemon.py
@@ -219,6 +219,16 @@
         layer = next(layer for layer in roster.state.layers if layer.source == INLINE)
         roster.step(Candidate(INLINE, change(tuple(layer.entries)), by_operator=True))
 
+    def refusing(self) -> set[str]:
+        """The limits, doors and hooks that have held a request back, or had a say."""
+        found = {f"limiter {name}" for name, each in self.limiters.items()
+                 if each.over_rate or each.over_at_once}
+        for name, running in self.pools.items():
+            door = running.pool.door
+            if door is not None and any(each.refused or each.waited_us for each in door.shares.values()):
+                found.add(f"door of pool {name}")
+        return found | {f"hook {name}" for name, each in self.hooks.status().items() if each.get("calls")}
+
     def follow(self, setup: operator.Setup) -> None:
         """A reload; raises ConfigError."""
         setup = alone(setup)
--- a/plovertrail/rehearsal/play.py
+++ b/plovertrail/rehearsal/play.py
@@ -40,6 +40,7 @@
     asked: list[Asked] = field(default_factory=list)
     moved: list[Moved] = field(default_factory=list)
     told: list[tuple[int, str]] = field(default_factory=list)  # events, for traces
+    refusing: set[str] = field(default_factory=set)  # limits, doors and hooks that held a request back
     open_left: int = 0  # requests and attempts that the host still holds at the end
 
     def time(self, at_us: int) -> str:
@@ -98,6 +99,7 @@
         await asyncio.sleep((SETTLE_US + last_us + longest_us + SLACK_US) / 1e6)
         played.asked = self.daemon.asked
         played.open_left = len(self.daemon.host.requests)
+        played.refusing = self.daemon.refusing()
         return played
 
     def asks(self, arrival: Arrival) -> None:
--- a/plovertrail/rehearsal/written.py
+++ b/plovertrail/rehearsal/written.py
@@ -82,6 +82,7 @@
     refused_within: str = ""
     retry_after: bool = False
     share: dict[str, list[Percent]] = {}
+    at_most: dict[str, list[int | str]] = {}
 
 
 class ScenarioTable(msgspec.Struct, kw_only=True):
@@ -173,6 +174,7 @@
     refused_within_us: int
     retry_after: bool
     share: tuple[tuple[str, float, float], ...]
+    at_most: tuple[tuple[str, int, int], ...]  # attempts to a server, in any so many microseconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -374,6 +376,8 @@
                 self.known(name, self.servers, f"{place}.{key}[{number}]", "server")
         if table.only_to and set(table.only_to) <= set(table.never_to):
             self.wrong(place, "only_to and never_to contradict each other", "leave one of them out")
+        for name in table.at_most:
+            self.known(name, self.servers, key_path(f"{place}.at_most", name), "server")
         for name in table.share:
             self.known(name, self.servers, key_path(f"{place}.share", name), "server")
         asked = (
@@ -388,6 +392,7 @@
             table.refused_within,
             table.retry_after,
             table.share,
+            table.at_most,
         )
         if not any(asked):
             self.wrong(place, "nothing is expected, so it can't fail", 'write never_to = ["POOL/SERVER"]')
@@ -415,8 +420,20 @@
                 for name, both in table.share.items()
                 if (span := self.span(both, key_path(f"{place}.share", name), 0, 100)) is not None
             ),
+            tuple(
+                (name, *rate)
+                for name, both in table.at_most.items()
+                if (rate := self.rate(both, key_path(f"{place}.at_most", name))) is not None
+            ),
         )
 
+    def rate(self, both: list[int | str], place: str) -> tuple[int, int] | None:
+        """So many in so long."""
+        if len(both) != 2 or not isinstance(both[0], int) or not isinstance(both[1], str):
+            self.wrong(place, f"{both} is no rate", 'write [10, "1s"]')
+            return None
+        return both[0], self.time(both[1], place, 1)
+
     def span(self, both: Any, place: str, least: float, most: float) -> Any:
         if not both:
             return None
