--- a/plovertrail/decisions/limits.py
+++ b/plovertrail/decisions/limits.py
@@ -184,8 +184,8 @@
     # How
 
     def _advance(self, now_us: int) -> None:
-        """Hazard: by a time from before the last one a request would have taken less than no time, and what is
-        told of places at once would be nothing."""
+        """Hazard: by a time from before the last one a request would have taken less than no time, and no
+        wait would be told where places at once run out."""
         self.now_us = max(now_us, self.now_us)
 
     def _key(self, tenant: str, client: str) -> int:
--- a/plovertrail/nginx/importer.py
+++ b/plovertrail/nginx/importer.py
@@ -88,6 +88,7 @@
         self.limits = Limits(self.report)
         self.routes = RouteWriter()
         self.listeners: dict[str, str] = {}  # name by address
+        self.listened: dict[str, str] = {}  # by address, where it is first written
         self.fixed: dict[str, str] = {}  # variables with one value, of maps
         self.upgrades: set[str] = set()  # variables that say whether a client asks for another protocol
         self.bodies: list[int] = []
@@ -192,6 +193,7 @@
         for address, found in wanted.items():
             first = next((server for server, default, _ in found if default), found[0][0])
             self.listeners[address] = "nginx-" + address.replace(":", "-")
+            self.listened[address] = found[0][2].place
             for server in dict.fromkeys(server for server, _, _ in found):
                 server.listens.append((address, server is first))
         for server in servers:
@@ -822,13 +824,20 @@
         lines = [HEADER, "[limits]", f'max_body = "{max([USUAL_BODY, *self.bodies])}B"', ""]
         for address, name in self.listeners.items():
             lines += [
+                f"# {self.listened[address]}",
                 f"[listeners.{name}]" if "." not in name else f'[listeners."{name}"]',
                 f'address = "{address}"',
             ]
             lines += [f'{key} = "{value}"' for key, value in self.times.items()] + [""]
         for ms in sorted({row.settings.deadline_ms for row in self.routes.rows if row.settings} or {60_000}):
+            places = [
+                row.directive.place
+                for row in self.routes.rows
+                if row.settings and row.settings.deadline_ms == ms
+            ]
             for effect in ("safe", "unsafe"):
                 lines += [
+                    f"# {places[0] if places else 'no location'}: the first that waits so long",
                     f"[classes.{effect}-{ms}ms]",
                     f'effect = "{effect}"',
                     f'aim = "{time_text(min(ms, AIM_MS))}"',
