--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -333,7 +333,8 @@
 
 def test_the_example_is_good() -> None:
     setup = load(str(EXAMPLE))
-    assert {route.name for route in setup.routes.routes} == {"buy", "topup", "covers", "pages"}
+    names = {"buy", "topup", "bookmark", "front", "help", "covers", "pages"}
+    assert {route.name for route in setup.routes.routes} == names
     store = setup.pools["store"]
     assert [server.weight for server in store.servers] == [1.0, 2.0, 1.0] and store.settings.draw_by_weight
     assert store.servers[0].cell == store.servers[1].cell != store.servers[2].cell
