--- a/plovertrail/nginx/locations.py
+++ b/plovertrail/nginx/locations.py
@@ -53,6 +53,8 @@
     def part(self, within: str, excepts: Sequence[str] = ()) -> Region:
         """Those of them that begin with another text as well, and with none of further ones."""
         inner = max(self.within, within, key=len)
+        if not (self.within.startswith(within) or within.startswith(self.within)):
+            return Region(inner, (inner,))  # no path begins with both
         # hazard: what is left out may begin what is left; then nothing is
         kept = dict.fromkeys(
             text for text in (*self.excepts, *excepts) if text.startswith(inner) or inner.startswith(text)
--- a/tests/nginx/test_import.py
+++ b/tests/nginx/test_import.py
@@ -167,6 +167,13 @@
         N,
         "never reached",
     ),
+    "a location under an expression, outside the prefix around that": (
+        "location /b { location ~ c { location /c { return 200; } return 201; } return 202; } "
+        "location / { return 404; }",
+        "location",
+        N,
+        "never reached",
+    ),
     "an IPv6 address": ("listen [::1]:8001; location / { proxy_pass http://shop; }", "listen", X, "IPv4"),
 }
 
