Read once more: one outline of a request, one source of a word, and a lighter start

The platform's start loaded the door, limits and affinity that it has no use for; the host brings them in where they are asked for, and the test of the start holds it. A pool is told how many attempts it may make, in place of a figure that could fall below none. What routes make of a request stood three times and is decisions/requests.outline; sources of tenants, clients and affinity were read in three ways; a location has its scope; names that nginx doesn't have, dead names and a second Held are gone. A timed assertion went to benchmarks/planted_faults, and a test asserts more.

--- a/benchmarks/nginx_requests.py
+++ b/benchmarks/nginx_requests.py
@@ -10,7 +10,7 @@
 
 from plovertrail.config.operator import Setup
 from plovertrail.decisions.paths import BadTarget, normalise_path
-from plovertrail.decisions.requests import TurnedAway, read_head, route_request, told_by
+from plovertrail.decisions.requests import outline
 from plovertrail.nginx.report import Report, Treatment
 from standins.nginx_reference import Asked, Block, Outcome, Reference
 
@@ -112,31 +112,16 @@
 
 
 def decided(setup: Setup, asked: Asked) -> Got:
-    """What the imported setup decides, with no sockets: what the front does with a head."""
+    """What the imported setup decides, with no sockets."""
     listener = next(each for each in setup.listeners if each.address[1] == asked.port)
-    headers = {name.lower().encode(): value.encode() for name, value in asked.headers}
-    target = (asked.path + (f"?{asked.query}" if asked.query else "")).encode()
-    try:
-        head, path, authority = read_head(asked.method.encode(), target, "1.1", [asked.host.encode()],
-                                          headers, listener.name)
-        routed = route_request(setup.routes, head, path, authority)
-    except TurnedAway as away:
-        return Got(away.status, body=away.why)
-    route = routed.route
-    values = told_by(head, path, authority, target, asked.address, asked.address, b"id", asked.port, route)
-    if route.answers is not None:
-        fixed = route.answers
-        return Got(fixed.status, fixed.location.filled(values) if fixed.location is not None else "",
-                   fixed.body.filled(values) if fixed.body is not None else "")
-    sent = {name.decode().lower(): value.decode() for name, value in headers.items()}
-    for name in route.remove_headers:
-        sent.pop(name.decode(), None)
-    sent |= {"host": asked.host}
-    sent |= {name.decode().lower(): value.decode() for name, value in route.set_headers}
-    sent |= {name.decode().lower(): value.filled(values) for name, value in route.filled_headers}
-    addresses = frozenset("{}:{}".format(*server.address) for name in route.pools
+    target = asked.path + (f"?{asked.query}" if asked.query else "")
+    found = outline(setup.routes, asked.method, asked.host, target, asked.headers, listener.name, asked.port,
+                    asked.address)
+    if found.status or found.routed is None:
+        return Got(found.status, found.location, found.body)
+    addresses = frozenset("{}:{}".format(*server.address) for name in found.routed.route.pools
                           for server in setup.pools[name].servers if not server.drain)
-    return Got(addresses=addresses, uri=routed.target.decode("latin-1"), headers=sent)
+    return Got(addresses=addresses, uri=found.routed.target.decode("latin-1"), headers=found.sends)
 
 
 def servers_of(reference: Reference, group: str) -> frozenset[str]:
--- a/benchmarks/planted_faults.py
+++ b/benchmarks/planted_faults.py
@@ -22,6 +22,7 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 SITE = "deploy/plovertrail.toml"
+EXPECTATIONS = 10_000
 PATIENCE_S = 300.0
 
 
@@ -138,8 +139,14 @@
     Fault(
         "a pool leaves no attempt to those behind it",
         FAILOVER,
-        "return max(0, min(behind, most_attempts - standing.attempts - 1))",
-        "return 0",
+        "return left - max(0, min(behind, left - 1))",
+        "return left",
+    ),
+    Fault(
+        "each pool goes by its own attempts",
+        BALANCE,
+        "left = self.settings.max_attempts if event.attempts_left is None else event.attempts_left",
+        "left = self.settings.max_attempts - event.earlier_attempts",
     ),
     Fault(
         "the weight is inverted",
@@ -308,6 +315,26 @@
     return f"ended with {done.returncode}: {(done.stderr.strip().splitlines() or [''])[-1][:80]}", seconds
 
 
+def many(folder: Path, count: int) -> float:
+    """Seconds that so many expectations on single requests take, which hold."""
+    path = folder / "many.toml"
+    path.write_text(
+        "".join(
+            f'[[requests]]\nask = "POST http://shop.example/buy/{number}"\nroute = "buy"\n'
+            for number in range(count)
+        )
+    )
+    began = time.perf_counter()
+    subprocess.run(
+        [sys.executable, "-m", "plovertrail.cli", "test", SITE, "--expect", str(path)],
+        cwd=ROOT,
+        check=True,
+        capture_output=True,
+        timeout=PATIENCE_S,
+    )
+    return time.perf_counter() - began
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--workers", type=int, default=4)
@@ -318,6 +345,7 @@
         found = list(
             workers.map(lambda pair: played(Path(folder) / str(pair[0]), pair[1]), enumerate(faults))
         )
+        many_seconds = many(Path(folder), EXPECTATIONS)
     rows = [
         [fault.name if fault is not None else "(nothing)", told, seconds]
         for fault, (told, seconds) in zip(faults, found, strict=True)
@@ -329,8 +357,14 @@
         Bar("faults that are not caught", len(survived), 0),
         Bar("reported where nothing is broken", int(rows[0][1] != "held"), 0),
         Bar("seconds of the run with nothing planted", float(found[0][1]), 30),
+        Bar(f"seconds of {EXPECTATIONS} expectations", many_seconds, 10),
     ]
-    figures: dict[str, object] = {"planted": len(rows) - 1, "survived": survived, "seconds": found[0][1]}
+    figures: dict[str, object] = {
+        "planted": len(rows) - 1,
+        "survived": survived,
+        "seconds": found[0][1],
+        "many_seconds": many_seconds,
+    }
     return close("planted_faults", figures, bars)
 
 
--- a/benchmarks/reference_balance.py
+++ b/benchmarks/reference_balance.py
@@ -374,7 +374,8 @@
         """Rules 1 and 2 as far as they don't depend on the upstream."""
         if request.done or request.streaming or self.now_us >= request.event.due_us:
             return False
-        if request.attempts_made() + request.event.kept_attempts >= self.settings.max_attempts:
+        left = request.event.attempts_left
+        if len(request.attempts) >= (self.settings.max_attempts if left is None else left):
             return False
         if request.out() > 0 and not self.settings.second_copies:
             return False
--- a/plovertrail/config/operator.py
+++ b/plovertrail/config/operator.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 import hashlib
 import ipaddress
 import os
@@ -14,7 +15,7 @@
 from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import dataclass
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 import re2
@@ -60,6 +61,7 @@
 Worth = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 
 
+Source = TypeVar("Source", bound=enum.Enum)
 Plain = tuple[tuple[bytes, bytes], ...]  # headers with their values
 Filled = tuple[tuple[bytes, Template], ...]
 
@@ -582,14 +584,9 @@
         """What a pool's requests have in common that should meet at one server."""
         if table.affinity is None:
             return None
-        kind, _, name = table.affinity.partition(":")
-        if kind == "header" and name:
-            return Affinity(AffinitySource.HEADER, self.header_name(name, f"{place}.affinity").lower())
-        if table.affinity in ("client", "tenant", "path"):
-            return Affinity(AffinitySource(table.affinity))
-        self.wrong(f"{place}.affinity", f"{table.affinity!r} is nothing that requests have in common",
-                   'write "client", "tenant", "path" or "header:X-User"')
-        return None
+        source, header = self.source(table.affinity, f"{place}.affinity", AffinitySource,
+                                     "nothing that requests have in common")
+        return Affinity(source, header) if source is not None else None
 
     def door(self, table: PoolTable, place: str, max_retry_after_us: int) -> DoorSettings | None:
         """How a pool's slots are shared among tenants."""
@@ -1004,21 +1001,21 @@
     def tenant(self, row: RouteTableRow, at: str) -> tuple[TenantSource, bytes]:
         if row.tenant is None:
             return TenantSource.NONE, b""
-        kind, _, name = row.tenant.partition(":")
-        if kind == "header" and name:
-            return TenantSource.HEADER, self.header_name(name, f"{at}.tenant").lower()
-        if row.tenant in ("host", "address"):
-            return TenantSource(row.tenant), b""
-        self.wrong(f"{at}.tenant", f"{row.tenant!r} is no source of a tenant",
-                   'write "header:X-Tenant", "host" or "address"')
-        return TenantSource.NONE, b""
+        source, header = self.source(row.tenant, f"{at}.tenant", TenantSource, "no source of a tenant")
+        return source or TenantSource.NONE, header
 
     def client(self, row: RouteTableRow, at: str) -> tuple[ClientSource, bytes]:
-        kind, _, name = row.client.partition(":")
+        source, header = self.source(row.client, f"{at}.client", ClientSource, "no source of a client")
+        return source or ClientSource.ADDRESS, header
+
+    def source(self, text: str, place: str, kinds: type[Source], what: str) -> tuple[Source | None, bytes]:
+        """Where something of a request is read: one of the words, or "header:NAME"."""
+        words = [kind.value for kind in kinds if kind.value not in ("header", "none")]
+        kind, _, name = text.partition(":")
         if kind == "header" and name:
-            return ClientSource.HEADER, self.header_name(name, f"{at}.client").lower()
-        if row.client in ("address", "forwarded"):
-            return ClientSource(row.client), b""
-        self.wrong(f"{at}.client", f"{row.client!r} is no source of a client",
-                   'write "address", "forwarded" or "header:X-Client"')
-        return ClientSource.ADDRESS, b""
+            return kinds("header"), self.header_name(name, place).lower()
+        if text in words:
+            return kinds(text), b""
+        told = ", ".join(f'"{word}"' for word in words)
+        self.wrong(place, f"{text!r} is {what}", f'write {told} or "header:X-Name"')
+        return None, b""
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -180,7 +180,8 @@
         self.budget = share.Budget()
         self.overdrawn = ""
         self.use_door(host, seed)
-        self.pool.use_affinity(config.affinity)
+        if config.affinity is not None:
+            self.pool.use_affinity(config.affinity)
         if config.bounds.servers:
             zones = config.settings.cross_zone_fee > 0
             host.use_subset(self.pool, share.Subset(
@@ -402,13 +403,10 @@
         path = self.generation.setup.path
         try:
             # hazard: a long file takes long to check, and every open request would wait for it
-            before = await asyncio.to_thread(digest, path)
-            wrong = await self.approve(path) if self.approve is not None else ""
-            setup = await asyncio.to_thread(operator.load, path)
-            if not wrong and await asyncio.to_thread(digest, path) != before:
-                wrong = "it changed while it was read"  # hazard: what was held to tests would be another file
-            if wrong:
-                raise ConfigError(path, [Problem("", wrong)])
+            if self.approve is None:
+                setup = await asyncio.to_thread(operator.load, path)
+            else:
+                setup = await self._approved(path, self.approve)
             known = frozenset(key for pool in self.pools.values() for key in pool.config.lists)
             fresh = await asyncio.to_thread(read_lists, setup, known)
             self.apply(setup, fresh, await asyncio.to_thread(self.hooks.prepare, setup))
@@ -421,6 +419,18 @@
         log.info("generation %d is in force: %s", self.generation.number, path)
         return True
 
+    @staticmethod
+    async def _approved(path: str, approve: Approve) -> operator.Setup:
+        """A file that nothing is wrong with; raises ConfigError."""
+        before = await asyncio.to_thread(digest, path)
+        wrong = await approve(path)
+        setup = await asyncio.to_thread(operator.load, path)
+        if not wrong and await asyncio.to_thread(digest, path) != before:
+            wrong = "it changed while it was read"  # hazard: what was held to tests would be another file
+        if wrong:
+            raise ConfigError(path, [Problem("", wrong)])
+        return setup
+
     def drain(self, pool: str, server: str, drain: bool) -> str:
         """Drain a server by hand, or end that; returns what is wrong, or nothing."""
         if pool not in self.pools:
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -542,7 +542,8 @@
         event = request.event
         if request.done or request.streaming or self.now_us >= event.due_us:
             return False
-        if len(request.attempts) + event.earlier_attempts + event.kept_attempts >= self.settings.max_attempts:
+        left = self.settings.max_attempts if event.attempts_left is None else event.attempts_left
+        if len(request.attempts) >= left:
             return False
         if request.out > 0 and not self.settings.second_copies:
             return False
--- a/plovertrail/decisions/failover.py
+++ b/plovertrail/decisions/failover.py
@@ -41,11 +41,10 @@
     return next((number for number in range(standing.asked, len(serving)) if serving[number]), None)
 
 
-def kept_attempts(standing: Standing, serving: Sequence[bool], number: int, most_attempts: int,
-                  own_attempts: int) -> int:
-    """How many attempts a pool must leave of its own figure: one for each pool behind it, as far as there are
-    so many. Hazard: a pool whose servers all refuse would use up the attempts, and the one that is well would
-    get none. The first pool's figure counts for all of them, so a pool whose own is lower leaves fewer than
-    none."""
+def attempts_left(standing: Standing, serving: Sequence[bool], number: int, most_attempts: int) -> int:
+    """How many attempts a pool may make: what is left of the first pool's figure, but one for each pool
+    behind it, as far as there are so many. Hazard: a pool whose servers all refuse would use up the attempts,
+    and the one that is well would get none."""
+    left = most_attempts - standing.attempts
     behind = sum(1 for serves in serving[number + 1:] if serves)
-    return max(0, min(behind, most_attempts - standing.attempts - 1)) + own_attempts - most_attempts
+    return left - max(0, min(behind, left - 1))
--- a/plovertrail/decisions/interface.py
+++ b/plovertrail/decisions/interface.py
@@ -170,7 +170,7 @@
     retried: bool = False  # the client sends it again
     write: bool = False
     earlier_attempts: int = 0  # by other pools, all known not to have run
-    kept_attempts: int = 0  # left to the pools that may be asked after this one
+    attempts_left: int | None = None  # that this pool may make; None: as many as its settings say
     barred: Container[int] = frozenset()  # upstreams that take none of its kind now; may be a live view
     preferred: tuple[int, ...] = ()  # upstreams that its first attempt should go to if they have a free slot
 
--- a/plovertrail/decisions/requests.py
+++ b/plovertrail/decisions/requests.py
@@ -4,8 +4,8 @@
 
 import ipaddress
 import re
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 
 from plovertrail.decisions.paths import BadTarget, normalise_host, normalise_path, split_target
 from plovertrail.decisions.routes import (
@@ -92,6 +92,47 @@
     return told | {str(number): text for number, text in enumerate(captured(route, head.path), 1)}
 
 
+@dataclass(slots=True)
+class Outline:
+    """What the routes make of a request, before a hook, a limit or a server has a say."""
+
+    status: int = 0  # of the answer that it gets here; 0: it goes on to a server
+    body: str = ""
+    location: str = ""
+    head: Head | None = None  # None: it is malformed
+    routed: Routed | None = None
+    tenant: str = ""
+    sends: dict[str, str] = field(default_factory=dict)  # the headers that go on, names in lower case
+
+
+def outline(table: RouteTable, method: str, host: str, target: str, headers: Sequence[tuple[str, str]],
+            listener: str, port: int, address: str) -> Outline:
+    """A request of HTTP/1.1 as a client at `address` sends it to a listener."""
+    joined: dict[bytes, bytes] = {}
+    for name, value in headers:
+        key, plain = name.lower().encode("latin-1"), value.encode("latin-1")
+        joined[key] = joined[key] + b", " + plain if key in joined else plain
+    sent, head = target.encode("latin-1"), None
+    try:
+        head, path, authority = read_head(method.encode(), sent, "1.1", [host.encode("latin-1")], joined,
+                                          listener)
+        routed = route_request(table, head, path, authority)
+    except TurnedAway as away:
+        return Outline(away.status, away.why, head=head)
+    route = routed.route
+    values = told_by(head, path, authority, sent, address, address, b"", port, route)
+    if route.answers is not None:
+        fixed = route.answers
+        return Outline(fixed.status, fixed.body.filled(values) if fixed.body is not None else "",
+                       fixed.location.filled(values) if fixed.location is not None else "", head, routed)
+    sends = {name.decode("latin-1"): value.decode("latin-1") for name, value in joined.items()
+             if name not in route.remove_headers}
+    sends["host"] = host
+    sends |= {name.decode().lower(): value.decode("latin-1") for name, value in route.set_headers}
+    sends |= {name.decode().lower(): value.filled(values) for name, value in route.filled_headers}
+    return Outline(0, "", "", head, routed, tenant_of(route, head, address).decode("latin-1"), sends)
+
+
 def tenant_of(route: Route, head: Head, address: str) -> bytes:
     """The name of a request's tenant; empty where its route has none."""
     if route.tenant_from is TenantSource.HEADER:
--- a/plovertrail/exchange.py
+++ b/plovertrail/exchange.py
@@ -6,10 +6,12 @@
 import enum
 from collections.abc import Callable, Container, Set
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from plovertrail.decisions import interface as api
-from plovertrail.decisions.limits import OverLimit
+
+if TYPE_CHECKING:
+    from plovertrail.decisions.limits import OverLimit
 
 
 class Handshake(Protocol):
--- a/plovertrail/fronts/ordinary.py
+++ b/plovertrail/fronts/ordinary.py
@@ -211,7 +211,6 @@
         ident = headers.get(listener.request_id_header.lower(), b"")
         if not IDENT.fullmatch(ident):
             ident = os.urandom(16).hex().encode()
-        trusted = listener.forwarded.encode() if listener.trust_forwarded else b""
         kept = end_to_end(message.headers, plan.dropped | front.dropped)
         if trail is not None:
             kept = trail.changes.apply(kept)
@@ -219,7 +218,7 @@
         kept.append((listener.request_id_header, ident))
         if listener.forwarded != "off":
             kept.append(self.forwarded(headers, authority))
-        client = client_of(routed.route, head, self.peer(), trusted)
+        client = client_of(routed.route, head, self.peer(), front.trusted)
         host = plan.set_host or authority
         if plan.filled_headers or plan.filled_host is not None:
             told = self.told(routed, path, message.target, ident, client)
@@ -423,6 +422,8 @@
         self.most_clients = listener.max_connections
         self.patience = Patience.of(listener.read_us / 1e6, listener.idle_us / 1e6)
         self.dropped = dropped_by_listener(listener)
+        # the header in which the proxy in front tells addresses; empty: none is trusted
+        self.trusted = listener.forwarded.encode() if listener.trust_forwarded else b""
 
     def connection(self, sock: socket.socket) -> OrdinaryClient:
         return OrdinaryClient(self, sock)
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -13,17 +13,20 @@
 from collections.abc import Callable, Container, Sequence
 from dataclasses import dataclass, field, replace
 from itertools import islice
+from typing import TYPE_CHECKING
 
 from plovertrail.clock import clock_us
 from plovertrail.decisions import interface as api
-from plovertrail.decisions.affinity import Affinity, Ring
 from plovertrail.decisions.balance import Balancer, Reissues
-from plovertrail.decisions.failover import Standing, kept_attempts, next_pool
-from plovertrail.decisions.fairness import Action, Admitted, Door, DoorSettings
-from plovertrail.decisions.limits import Limiter, OverLimit, Permit, admit
-from plovertrail.decisions.share import Subset
+from plovertrail.decisions.failover import Standing, attempts_left, next_pool
 from plovertrail.exchange import Answer, Call, Flight, Handshake, Result, Upstreams, Verdict
 
+if TYPE_CHECKING:  # brought in where they are asked for: the platform's start has none of them
+    from plovertrail.decisions.affinity import Affinity, Ring
+    from plovertrail.decisions.fairness import Action, Door, DoorSettings
+    from plovertrail.decisions.limits import Limiter, Permit
+    from plovertrail.decisions.share import Subset
+
 log = logging.getLogger(__name__)
 
 ANSWER_MARGIN_US = 10_000  # an answer sets out so long before the client's time is out, to be there in time
@@ -145,11 +148,11 @@
             else:
                 self.forget(entry.id)
 
-
-    def use_affinity(self, affinity: Affinity | None) -> None:
+    def use_affinity(self, affinity: Affinity) -> None:
         """Requests prefer servers by this. Before the first list."""
-        self.affinity = affinity
-        self.ring = Ring() if affinity is not None else None
+        from plovertrail.decisions.affinity import Ring
+
+        self.affinity, self.ring = affinity, Ring()
 
     def preferred(self, call: Call) -> tuple[int, ...]:
         """The servers that a request should go to if they have a free slot."""
@@ -238,6 +241,8 @@
         # hazard: whatever becomes of the module's own timers, no client is left without an answer
         request.timer = self._at(due_us + BACKSTOP_US, self._overdue, request)
         if limiters:
+            from plovertrail.decisions.limits import OverLimit, admit
+
             found = admit(limiters, call.tenant_name, call.client, clock_us())
             if isinstance(found, OverLimit):
                 self._answer(request.ident, Answer(Verdict.REFUSED, found.retry_after_us, over=found))
@@ -280,6 +285,8 @@
         if settings is not None and pool.door is not None:
             pool.door.configure(settings)
         elif settings is not None:
+            from plovertrail.decisions.fairness import Door
+
             pool.door = Door(settings, clock_us(), rng)
         elif pool.door is not None:
             waiting, pool.door = list(pool.door.waiting), None
@@ -414,8 +421,7 @@
         request.asks = api.RequestArrived(request.ident, request.due_us, call.class_index, call.tenant,
                                           call.key, call.cost_us, call.retried,
                                           earlier_attempts=standing.attempts,
-                                          kept_attempts=kept_attempts(standing, serving, number, most,
-                                                                      pool.settings.max_attempts),
+                                          attempts_left=attempts_left(standing, serving, number, most),
                                           barred=barred, preferred=pool.preferred(call))
         if pool.door is None:
             self._let_through(pool, request.ident)
@@ -438,6 +444,8 @@
                 self._changed_subset(pool, pool.subset.short(now_us))
 
     def _from_door(self, pool: ServerPool, actions: Sequence[Action]) -> None:
+        from plovertrail.decisions.fairness import Admitted
+
         for action in actions:
             if isinstance(action, Admitted):
                 self._let_through(pool, action.ident)
--- a/plovertrail/nginx/directives.py
+++ b/plovertrail/nginx/directives.py
@@ -230,10 +230,7 @@
             "default_type",
             "types",
             "disable_symlinks",
-            "include_types",
-            "msie_padding",
             "if_modified_since",
-            "merge_slashes_types",
         ),
         (N, _FILES),
     ),
@@ -317,21 +314,27 @@
 }
 
 
+# guards that let all pass
+HARMLESS = frozenset(
+    (
+        ("allow", "all"),
+        ("auth_basic", "off"),
+        ("auth_request", "off"),
+        ("limit_rate", "0"),
+        ("mirror", "off"),
+        ("proxy_pass_request_body", "on"),
+        ("proxy_pass_request_headers", "on"),
+        ("proxy_ssl_verify", "off"),
+        ("proxy_store", "off"),
+        ("ssl_verify_client", "off"),
+    )
+)
+
+
 def guards(name: str, args: tuple[str, ...]) -> bool:
     """Whether a location under this directive may not be opened without it."""
     if name in GUARDS:
-        return (name, args) not in (
-            (("auth_basic"), ("off",)),
-            ("mirror", ("off",)),
-            ("allow", ("all",)),
-            ("auth_request", ("off",)),
-            ("proxy_pass_request_headers", ("on",)),
-            ("proxy_pass_request_body", ("on",)),
-            ("ssl_verify_client", ("off",)),
-            ("proxy_store", ("off",)),
-            ("limit_rate", ("0",)),
-            ("proxy_ssl_verify", ("off",)),
-        )
+        return (name, *args) not in HARMLESS
     return name not in KNOWN and name not in TAKEN_UP
 
 
--- a/plovertrail/nginx/importer.py
+++ b/plovertrail/nginx/importer.py
@@ -92,7 +92,6 @@
         self.fixed: dict[str, str] = {}  # variables with one value, of maps
         self.upgrades: set[str] = set()  # variables that say whether a client asks for another protocol
         self.bodies: list[int] = []
-        self.scopes: dict[tuple[int, int], Scope] = {}  # of locations
         self.times: dict[str, str] = {}  # of all listeners
         self.origin = ""  # of redirects to a path, of the server that is read
 
@@ -315,9 +314,9 @@
         """What a server answers before it looks for a location; whether nothing is left for one."""
         for directive in scope.directives:
             if directive.name == "rewrite":
-                self._rewrite(directive, Rule(Location(Kind.PREFIX, "", directive), Region()), None, scope)
+                self._rewrite(directive, Rule(Location(Kind.PREFIX, "", directive, scope), Region()))
             elif directive.name == "return":
-                self._return(directive, Rule(Location(Kind.PREFIX, "", directive), Region()), scope)
+                self._return(directive, Rule(Location(Kind.PREFIX, "", directive, scope), Region()))
                 for each in scope.directives:
                     if each.name == "location":
                         self._shut_block(each, f"never reached: {directive.place} answers all")
@@ -359,6 +358,7 @@
 
     def _location(self, block: Directive, outer: Scope) -> Location | None:
         """One block and what is nested in it; None if no request comes to it. Raises Shut."""
+        scope = Scope(block.block or [], outer, location=True)
         args = block.args
         modifier, text = (args[0], args[1]) if len(args) == 2 else ("", args[0] if args else "")
         if len(args) == 1:  # the modifier may stand without a space
@@ -373,15 +373,14 @@
             regex = text if modifier == "~" else f"(?i){text}"
             if wrong := runs(whole(regex)):
                 raise Shut(block, f"{wrong}, so which requests it takes isn't known")
-            made = Location(Kind.REGEX, regex, block)
+            made = Location(Kind.REGEX, regex, block, scope)
         else:
             kind = {"=": Kind.EXACT, "^~": Kind.FINAL, "": Kind.PREFIX}.get(modifier)
             path = seen_path(text)
             if kind is None or path is None:
                 self._shut_block(block, "no request comes to such a location here: it is left out")
                 return None
-            made = Location(kind, path, block)
-        scope = Scope(block.block or [], outer, location=True)
+            made = Location(kind, path, block, scope)
         made.redirects = (
             made.kind in (Kind.PREFIX, Kind.FINAL)
             and bool(scope.own("proxy_pass"))
@@ -389,13 +388,12 @@
             and made.text.endswith("/")
         )
         made.nested = self._locations(scope, made)
-        self.scopes[block.number, id(made)] = scope
         return made
 
     def _rule(self, rule: Rule) -> None:
         """The routes of one place in the order."""
         block = rule.location.directive
-        scope = self.scopes[block.number, id(rule.location)]
+        scope = rule.location.scope
         if rule.region.empty:
             for each in (block, *scope.directives):
                 if not self.report.known(each):
@@ -421,9 +419,9 @@
             return
         for directive in scope.directives:
             if directive.name == "rewrite":
-                self._rewrite(directive, rule, scope, scope)
+                self._rewrite(directive, rule)
             elif directive.name == "return":
-                self._return(directive, rule, scope)
+                self._return(directive, rule)
                 self.report.mapped(block, "its requests are answered here")
                 return
         passes = scope.own("proxy_pass")
@@ -459,8 +457,8 @@
         known = self.fixed | scope.constants()
         return VARIABLE.sub(lambda found: known.get(found[1] or found[2], found[0]), text)
 
-    def _return(self, directive: Directive, rule: Rule, scope: Scope) -> None:
-        args = [self._plain(each, scope) for each in directive.args]
+    def _return(self, directive: Directive, rule: Rule) -> None:
+        args = [self._plain(each, rule.location.scope) for each in directive.args]
         try:
             if not args or len(args) > 2:
                 raise Unmappable("neither a status nor a URL")
@@ -506,12 +504,13 @@
                 raise Unmappable("groups of an expression that isn't its location's")
         self.routes.add(directive, rule, respond=(status, location, body))
 
-    def _rewrite(self, directive: Directive, rule: Rule, location: Scope | None, scope: Scope) -> None:
+    def _rewrite(self, directive: Directive, rule: Rule) -> None:
         """One rewrite, as a route for the requests that it takes; the others go on. Raises Shut where it
         can't be told which these are."""
         if len(directive.args) not in (2, 3):
             raise Shut(directive, "it has neither two nor three parts")
         regex, text, flag = (*directive.args, "")[:3]
+        scope = rule.location.scope
         text = self._plain(text, scope)
         if wrong := runs(whole(regex)):
             raise Shut(directive, f"{wrong}, so which requests it takes isn't known")
@@ -538,9 +537,9 @@
                 self._add(directive, taken, status, where + ("{args}" if keeps else ""), "")
                 self.report.mapped(directive, "respond")
                 return
-            if flag != "break" or location is None:
+            if flag != "break" or not scope.location:
                 raise Unmappable("what it becomes is looked up again among all locations")
-            passes = location.own("proxy_pass")
+            passes = scope.own("proxy_pass")
             if not passes:
                 raise Unmappable("its location serves files")
             if "?" in text[:-1] or not text.startswith("/"):
--- a/plovertrail/nginx/locations.py
+++ b/plovertrail/nginx/locations.py
@@ -14,6 +14,7 @@
 
 import re2
 
+from plovertrail.nginx.scope import Scope
 from plovertrail.nginx.tree import Directive
 
 LONGEST_REGEX = 900
@@ -31,6 +32,7 @@
     kind: Kind
     text: str  # of a regular expression: as RE2 takes it
     directive: Directive
+    scope: Scope  # what holds in it
     nested: list[Location] = field(default_factory=list)
     redirects: bool = False  # a request for it without its closing slash is sent there
 
--- a/plovertrail/nginx/routes.py
+++ b/plovertrail/nginx/routes.py
@@ -57,12 +57,12 @@
 
     def fixed(self, directive: Directive, region: Region, status: int, body: str) -> None:
         """An answer to all that is left."""
-        keys = region_keys(region) | {"respond": respond(status, "", escaped(body))}
+        keys = region_keys(region) | {"respond": answer(status, "", escaped(body))}
         self._row(directive, "rest", keys)
 
     def add(self, directive: Directive, rule: Rule, respond: tuple[int, str, str]) -> None:
         """An answer of a rule's own: status, Location and body, both templates."""
-        self._row(directive, "own", pattern(rule, rule.regex) | {"respond": _respond(*respond)})
+        self._row(directive, "own", pattern(rule, rule.regex) | {"respond": answer(*respond)})
 
     def proxied(
         self, directive: Directive, rule: Rule, regex: str | None, replace: str, settings: RouteSettings
@@ -141,7 +141,7 @@
     return keys
 
 
-def _respond(status: int, location: str, body: str) -> str:
+def answer(status: int, location: str, body: str) -> str:
     parts = [f"status = {status}"]
     if location:
         parts.append(f"location = {toml(location)}")
@@ -150,9 +150,6 @@
     return f"{{ {', '.join(parts)} }}"
 
 
-respond = _respond
-
-
 def toml(value: str | list[str] | dict[str, str]) -> str:
     """As TOML writes it."""
     if isinstance(value, list):
--- a/plovertrail/nginx/variables.py
+++ b/plovertrail/nginx/variables.py
@@ -51,7 +51,6 @@
             made += known[name]
         else:
             raise Unmappable(f"${name} has no counterpart")
-    rest = text[at:]
-    if "$" in rest or "$" in VARIABLE.sub("", text):
+    if "$" in VARIABLE.sub("", text):
         raise Unmappable("a $ that begins no variable")
-    return made + escaped(rest)
+    return made + escaped(text[at:])
--- a/plovertrail/rehearsal/daemon.py
+++ b/plovertrail/rehearsal/daemon.py
@@ -13,9 +13,9 @@
 from plovertrail.config import operator
 from plovertrail.config.problems import ConfigError, Problem
 from plovertrail.daemon import Daemon
-from plovertrail.decisions.membership import Candidate, Entry
+from plovertrail.decisions.membership import Candidate, Entry, State
 from plovertrail.exchange import Call
-from plovertrail.fronts.connections import State
+from plovertrail.fronts import connections
 from plovertrail.fronts.ordinary import OrdinaryClient, OrdinaryFront
 from plovertrail.generation import Plan
 from plovertrail.rehearsal.servers import Behaviour, PlayedServers
@@ -106,10 +106,9 @@
     """One client with one request."""
 
     def __init__(self, front: OrdinaryFront, asked: Asked, address: str) -> None:
-        super().__init__(front, socket.socket())
-        self.sock.close()
+        super().__init__(front, cast(socket.socket, None))  # `quiet` alone would ask it
         self.asked = asked
-        front.clients[State.FRESH][self] = None
+        front.clients[connections.State.FRESH][self] = None
         self.connection_made(PlayedTransport(address, self.heard_back))
 
     def quiet(self) -> bool:
@@ -154,6 +153,7 @@
         self.behaviour = behaviour  # of a pool's server, by their names
         self.by_ident: dict[bytes, Asked] = {}
         self.asked: list[Asked] = []
+        self.entries: dict[str, tuple[State, dict[tuple[str, int], Entry]]] = {}  # of pools, by address
         seeds = itertools.count(seed * 1_000_003 + 1)
         super().__init__(alone(setup), seeds.__next__, self.connections)
         self.lines = self.sockets.lines = Lines()  # type: ignore[assignment]
@@ -181,15 +181,17 @@
     # What happens
 
     def entry(self, pool: str, address: tuple[str, int]) -> Entry:
-        """The server that a pool has at an address, or had."""
-        state = self.pools[pool].roster.state if pool in self.pools else None
-        members = (
-            [*state.members.values(), *(member for member, _ in state.leaving.values())] if state else []
-        )
-        return next(
-            (member.entry for member in members if member.entry.address == address),
-            Entry("{}:{}".format(*address), address),
-        )
+        """The server that a pool has at an address, or had; looked for anew when its list has changed."""
+        if pool in self.pools:
+            state = self.pools[pool].roster.state
+            known = self.entries.get(pool)
+            if known is None or known[0] is not state:
+                members = [*(member for member, _ in state.leaving.values()), *state.members.values()]
+                known = state, {member.entry.address: member.entry for member in members}
+                self.entries[pool] = known
+            if address in known[1]:
+                return known[1][address]
+        return Entry("{}:{}".format(*address), address)
 
     def sent(
         self, pool: str, upstream: int, address: tuple[str, int], call: Call, behaviour: Behaviour
@@ -221,8 +223,9 @@
 
     def refusing(self) -> set[str]:
         """The limits, doors and hooks that have held a request back, or had a say."""
-        found = {f"limiter {name}" for name, each in self.limiters.items()
-                 if each.over_rate or each.over_at_once}
+        found = {
+            f"limiter {name}" for name, each in self.limiters.items() if each.over_rate or each.over_at_once
+        }
         for name, running in self.pools.items():
             door = running.pool.door
             if door is not None and any(each.refused or each.waited_us for each in door.shares.values()):
--- a/plovertrail/rehearsal/judge.py
+++ b/plovertrail/rehearsal/judge.py
@@ -28,14 +28,6 @@
     asked: Asked | None = None
 
 
-@dataclass
-class Verdict:
-    """Of one scenario over its seeds."""
-
-    broken: list[tuple[int, Broken]] = field(default_factory=list)  # with the seed
-    matched: Counter[str] = field(default_factory=Counter)  # how much each expectation was held to
-
-
 def known_not_run(sending: Sending, at_us: int) -> bool:
     """Whether it was known at a time that an attempt has not run."""
     return sending.ended in NEVER_RAN_ENDS and sending.over_us <= at_us
--- a/plovertrail/rehearsal/play.py
+++ b/plovertrail/rehearsal/play.py
@@ -160,7 +160,6 @@
     logging.disable(logging.CRITICAL)  # what the daemon would log is in the trace, as far as it matters
     try:
         with another_clock(loop.nanoseconds):
-            asyncio.set_event_loop(loop)
 
             async def whole() -> Played:
                 return await Player(setup, scenario, seed, only).play()
@@ -168,5 +167,4 @@
             return loop.run_until_complete(whole())
     finally:
         logging.disable(before)
-        asyncio.set_event_loop(None)
         loop.close()
--- a/plovertrail/rehearsal/run.py
+++ b/plovertrail/rehearsal/run.py
@@ -5,15 +5,13 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from plovertrail.config.operator import EFFECTS, Setup
-from plovertrail.decisions.requests import TurnedAway, read_head, route_request, tenant_of, told_by
+from plovertrail.config.operator import Setup
+from plovertrail.decisions.requests import outline
 from plovertrail.rehearsal.judge import Broken, Coverage, expected, rules, trace
 from plovertrail.rehearsal.play import Played, arrivals, play
 from plovertrail.rehearsal.written import Expectations, OneRequest, Scenario
 
-MOST_TOLD = 3  # broken requests of one expectation that are told
 SHRINK_PLAYS = 40
-WORDS = {ours: word for word, ours in EFFECTS.items()}
 
 
 @dataclass(slots=True)
@@ -62,46 +60,23 @@
 
 
 def decided(setup: Setup, one: OneRequest, coverage: Coverage) -> dict[str, object]:
-    """What becomes of a request, as the front would have it."""
+    """What becomes of a request, in the words of its expectations."""
     asks = one.asks
-    headers: dict[bytes, bytes] = {}
-    for name, value in asks.headers:
-        key, plain = name.lower().encode("latin-1"), value.encode("latin-1")
-        headers[key] = headers[key] + b", " + plain if key in headers else plain
-    hosts = [asks.host.encode("latin-1")]
-    target = asks.target.encode("latin-1")
-    try:
-        head, path, authority = read_head(asks.method.encode(), target, "1.1", hosts, headers, asks.listener)
-        coverage.asked(setup, head)
-        routed = route_request(setup.routes, head, path, authority)
-    except TurnedAway as away:
-        return {"status": away.status, "route": ""}
-    route = routed.route
-    coverage.routes.add(route.name)
     port = next(each.address[1] for each in setup.listeners if each.name == asks.listener)
-    values = told_by(head, path, authority, target, asks.address, asks.address, b"", port, route)
-    if route.answers is not None:
-        fixed = route.answers
-        where = fixed.location.filled(values) if fixed.location is not None else ""
-        return {"status": fixed.status, "route": route.name, "location": where}
+    found = outline(setup.routes, asks.method, asks.host, asks.target, asks.headers, asks.listener, port,
+                    asks.address)
+    if found.head is not None:
+        coverage.asked(setup, found.head)
+    if found.routed is None:
+        return {"status": found.status, "route": ""}
+    route = found.routed.route
+    coverage.routes.add(route.name)
+    if found.status:
+        return {"status": found.status, "route": route.name, "location": found.location}
     coverage.pools.update(route.pools)
     coverage.classes.add(route.class_name)
-    sends = {
-        name.decode(): value.decode("latin-1")
-        for name, value in headers.items()
-        if name not in route.remove_headers
-    }
-    sends["host"] = asks.host
-    sends |= {name.decode().lower(): value.decode("latin-1") for name, value in route.set_headers}
-    sends |= {name.decode().lower(): value.filled(values) for name, value in route.filled_headers}
-    return {
-        "route": route.name,
-        "class": route.class_name,
-        "pools": list(route.pools),
-        "tenant": tenant_of(route, head, asks.address).decode("latin-1"),
-        "target": routed.target.decode("latin-1"),
-        "sends": sends,
-    }
+    return {"route": route.name, "class": route.class_name, "pools": list(route.pools),
+            "tenant": found.tenant, "target": found.routed.target.decode("latin-1"), "sends": found.sends}
 
 
 def broken_of(played: Played, scenario: Scenario, matched: Counter[str]) -> list[Broken]:
--- a/plovertrail/rehearsal/written.py
+++ b/plovertrail/rehearsal/written.py
@@ -19,7 +19,6 @@
 ASK = re.compile(r"([A-Z-]{1,20}) http://([^/\s]*)(/\S*)")
 MOST_ASKED = 100_000  # requests of one scenario
 MOST_SEEDS = 10_000
-CAUSES = ("drain", "undrain", "gone", "join")
 
 Percent = Annotated[float, msgspec.Meta(ge=0, le=100)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MOST_ASKED)]
--- a/standins/nginx_reference.py
+++ b/standins/nginx_reference.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import os
 import re
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -395,7 +394,3 @@
             except Unknown:
                 headers[name] = UNKNOWN_VALUE
         return Outcome(group=group, uri=sent, headers=headers, line=location.line)
-
-
-def reference_of(path: str) -> Reference:
-    return Reference(os.path.abspath(path))
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -12,7 +12,7 @@
 from plovertrail.config.operator import load
 from plovertrail.daemon import Daemon
 from standins.ports import free_port
-from standins.web import WebServer
+from standins.web import OK, Arrival, Line, WebServer
 from tests.net import PATIENCE_S
 
 CLASSES = """
@@ -157,6 +157,23 @@
         return await self.daemon.reload()
 
 
+class Held:
+    """A server that keeps each request until it is let go."""
+
+    def __init__(self) -> None:
+        self.release = asyncio.Semaphore(0)
+        self.server = WebServer(self.script)
+
+    async def script(self, server: WebServer, arrival: Arrival, line: Line) -> bytes:
+        await self.release.acquire()
+        return OK
+
+    @property
+    def order(self) -> list[str]:
+        """The tenants of what has come, in its order."""
+        return [arrival.all("X-Tenant")[0].decode() for arrival in self.server.arrivals]
+
+
 def message(line: str, *headers: str, body: bytes = b"", host: str = "shop.example") -> bytes:
     """A request; `line` is method and target."""
     lines = [f"{line} HTTP/1.1", *([f"Host: {host}"] if host else []), *headers]
--- a/tests/decisions/test_failover.py
+++ b/tests/decisions/test_failover.py
@@ -5,7 +5,7 @@
 import pytest
 
 from plovertrail.decisions.balance import MOST_RETRIES, NEVER_RAN, Balancer, Reissues
-from plovertrail.decisions.failover import Standing, kept_attempts, next_pool
+from plovertrail.decisions.failover import Standing, attempts_left, next_pool
 from plovertrail.decisions.interface import (
     AttemptEnded,
     ListKind,
@@ -75,7 +75,8 @@
 
     def sends(balancer: Balancer, earlier: int) -> int:
         """How often a request is sent that every server turns away."""
-        actions = balancer.handle(1, RequestArrived(9, 900_000, earlier_attempts=earlier))
+        event = RequestArrived(9, 900_000, earlier_attempts=earlier, attempts_left=3 - earlier)
+        actions = balancer.handle(1, event)
         count = 0
         while any(isinstance(action, Send) for action in actions):
             upstream = next(action.upstream for action in actions if isinstance(action, Send))
@@ -90,19 +91,24 @@
 
 
 def test_a_pool_leaves_an_attempt_to_each_pool_behind_it() -> None:
-    def kept(standing: Standing, *serving: bool, number: int = 0, most: int = 4) -> int:
-        return kept_attempts(standing, serving, number, most, most)
-
-    assert kept(tried(), True) == 0 and kept(tried(), True, True) == 1
-    assert kept(tried(), True, False, True) == 1  # an empty one needs none
-    assert kept(tried(), *[True] * 8) == 3  # and has one itself
-    assert kept(tried(Outcome.FULL, Outcome.FULL), True, True, True, number=1) == 1
-    assert kept(tried(*[Outcome.FULL] * 3), True, True, True, number=1) == 0
-
-
-def test_the_first_pool_s_figure_counts_for_one_behind_it_with_a_lower_own() -> None:
-    """Three attempts of four were made: a pool has one left, whether its own figure is three or six."""
-    standing = Standing(9_000, asked=1, attempts=3)
-    for own in (3, 4, 6):
-        left = own - standing.attempts - kept_attempts(standing, [True, True], 1, 4, own)
-        assert left == 1
+    def left(standing: Standing, *serving: bool, number: int = 0, most: int = 4) -> int:
+        return attempts_left(standing, serving, number, most)
+
+    assert left(tried(), True) == 4 and left(tried(), True, True) == 3
+    assert left(tried(), True, False, True) == 3  # an empty one needs none
+    assert left(tried(), *[True] * 8) == 1  # it has one itself
+    assert left(tried(Outcome.FULL, Outcome.FULL), True, True, True, number=1) == 1
+    assert left(tried(*[Outcome.FULL] * 3), True, True, True, number=1) == 1
+
+
+def test_the_figure_that_a_request_brings_counts_and_not_the_pool_s_own() -> None:
+    """The first pool's figure is four, and three attempts were made: a pool of one or of six has one left."""
+    for own in (1, 6):
+        settings = Settings([RequestClass("read", 100_000, 1_000_000)], max_attempts=own)
+        balancer = Balancer(settings, 1, 0)
+        balancer.handle(0, UpstreamsUpdated(ListKind.FULL, [Upstream(1), Upstream(2), Upstream(3)]))
+        actions = balancer.handle(1, RequestArrived(9, 900_000, earlier_attempts=3, attempts_left=1))
+        sends = [action for action in actions if isinstance(action, Send)]
+        assert len(sends) == 1
+        actions = balancer.handle(2, AttemptEnded(9, 0, sends[0].upstream, Outcome.FULL))
+        assert not [action for action in actions if isinstance(action, Send)]
--- a/tests/rehearsal/test_run.py
+++ b/tests/rehearsal/test_run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import time
 import xml.etree.ElementTree as ElementTree
 from pathlib import Path
 
@@ -242,9 +241,7 @@
         seeds=4,
     )
     found = held(tmp_path, text)
-    assert not [
-        line for result in found.failed for line in result.failures if "rule" in line or "expect[0]" in line
-    ]
+    assert not found.failed, found.failed[0].failures
 
 
 @pytest.mark.parametrize("does", ["ok", "error", "full", "refuse", "reset-early", "reset-late", "silent"])
@@ -264,14 +261,15 @@
     assert not told(tmp_path, text)
 
 
-def test_ten_thousand_expectations_take_seconds(tmp_path: Path) -> None:
+def test_ten_thousand_expectations_are_each_held(tmp_path: Path) -> None:
+    """One of them is wrong. How long they take is benchmarks/planted_faults.py's to say."""
     rows = "".join(
-        f'[[requests]]\nask = "POST http://h/buy/{number}"\nroute = "buy"\n' for number in range(10_000)
+        f'[[requests]]\nask = "POST http://h/buy/{number}"\nroute = "{"rest" if number == 7777 else "buy"}"\n'
+        for number in range(10_000)
     )
-    began = time.process_time()
     report = held(tmp_path, rows)
-    assert len(report.results) == 10_000 and not report.failed
-    assert time.process_time() - began < 60  # a bound against growth with the square, and no measure of speed
+    assert len(report.results) == 10_000
+    assert [result.place for result in report.failed] == ["requests[7777]"]
 
 
 def test_the_command_tells_in_all_its_forms(tmp_path: Path) -> None:
--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -11,8 +11,8 @@
 import pytest
 
 from standins.live import LiveServer
-from standins.web import NOT_RUN, OK, Arrival, Line, WebServer, always
-from tests.daemons import Client, Running, message, run, running
+from standins.web import NOT_RUN, WebServer, always
+from tests.daemons import Client, Held, Running, message, run, running
 from tests.net import until
 from tests.websocket_site import SOCKETS, live_site
 
@@ -27,20 +27,6 @@
 PATIENT = 'fair = { max_wait = "14s" }'
 
 
-class Held:
-    """A server that keeps each request until it is let go."""
-
-    def __init__(self) -> None:
-        self.order: list[str] = []
-        self.release = asyncio.Semaphore(0)
-        self.server = WebServer(self.script)
-
-    async def script(self, server: WebServer, arrival: Arrival, line: Line) -> bytes:
-        self.order.append(arrival.all("X-Tenant")[0].decode())
-        await self.release.acquire()
-        return OK
-
-
 @asynccontextmanager
 async def site(folder: Path, held: Held, extra: str = PATIENT, head: str = TENANTS,
                spare: WebServer | None = None) -> AsyncIterator[Running]:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import pytest
 
 from standins.live import LiveServer
-from standins.web import OK, Arrival, Line, WebServer
-from tests.daemons import message, run, running
+from standins.web import WebServer
+from tests.daemons import Client, Held, Running, message, run, running
 from tests.net import until
 from tests.websocket_site import ROUTES as LIVE_ROUTES
 from tests.websocket_site import live_site
@@ -39,18 +40,6 @@
     return message("POST /buy", *headers, body=b"coins")
 
 
-class Held:
-    """A server that keeps each request until it is let go."""
-
-    def __init__(self) -> None:
-        self.release = asyncio.Semaphore(0)
-        self.server = WebServer(self.script)
-
-    async def script(self, server: WebServer, arrival: Arrival, line: Line) -> bytes:
-        await self.release.acquire()
-        return OK
-
-
 def test_over_its_rate_a_client_is_told_which_limit_and_when(tmp_path: Path) -> None:
     async def test() -> None:
         server = WebServer()
@@ -110,14 +99,22 @@
     run(test)
 
 
+@asynccontextmanager
+async def one_open(folder: Path) -> AsyncIterator[tuple[Running, Held, Client]]:
+    """A client that may have one request at once has it at the server."""
+    held = Held()
+    async with running(folder, {"main": [held.server]}, routes=routes(),
+                       head=limiter("client", "concurrent = 1")) as it:
+        first = await it.connect()
+        first.writer.write(buy())
+        await until(lambda: held.server.count == 1)
+        yield it, held, first
+        first.close()
+
+
 def test_a_client_that_leaves_gives_its_place_back(tmp_path: Path) -> None:
     async def test() -> None:
-        held = Held()
-        async with running(tmp_path, {"main": [held.server]}, routes=routes(),
-                           head=limiter("client", "concurrent = 1")) as it:
-            first = await it.connect()
-            first.writer.write(buy())
-            await until(lambda: held.server.count == 1)
+        async with one_open(tmp_path) as (it, held, first):
             first.close()
             entries = it.daemon.limiters["it"].entries
             await until(lambda: all(entry.at_once == 0 for entry in entries.values()))
@@ -188,19 +185,13 @@
 
 def test_a_request_that_is_open_over_a_reload_gives_its_place_back(tmp_path: Path) -> None:
     async def test() -> None:
-        held = Held()
-        async with running(tmp_path, {"main": [held.server]}, routes=routes(),
-                           head=limiter("client", "concurrent = 1")) as it:
-            first = await it.connect()
-            first.writer.write(buy())
-            await until(lambda: held.server.count == 1)
+        async with one_open(tmp_path) as (it, held, first):
             assert await it.change(it.path.read_text() + "\n# the same again")
             assert (await it.ask(buy())).status == 429
             for _ in range(2):
                 held.release.release()
             assert (await first.reply()).status == 200
             assert (await it.ask(buy())).status == 200
-            first.close()
 
     run(test)
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -158,5 +158,7 @@
     unwanted = ("plovertrail.cli", "plovertrail.daemon", "plovertrail.config.operator",
                 "plovertrail.fronts.ordinary", "plovertrail.fronts.sockets", "plovertrail.websocket",
                 "plovertrail.decisions.routes", "plovertrail.decisions.sockets", "plovertrail.hooks",
-                "plovertrail.decisions.verdicts", "plovertrail.decisions.breaker")
+                "plovertrail.decisions.verdicts", "plovertrail.decisions.breaker",
+                "plovertrail.decisions.fairness", "plovertrail.decisions.limits",
+                "plovertrail.decisions.affinity", "plovertrail.decisions.templates")
     assert not [name for name in found if name.startswith(unwanted)]
