A first fault counts by the draw, and among many sidecars each uses fewer upstreams

Ruled out: rests (a sidecar comes by once in 3 s, a rest takes 0.1 s), reissues (the class is unsafe). At fault: judge() did nothing on a fault until two in three attempts had failed, which a sidecar with 20 requests a second among 60 upstreams learns in half a minute. Change: while under a third of the upstreams have faults, each fault adds to a distrust that divides the draw (one: to a twelfth), forgotten by answers or half of it in 10 s. Among over 10 instances a sidecar opens a further upstream for up to four times as many sends, so that it sees each one sooner.

--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -26,6 +26,11 @@
 REISSUED = (*INSTANT_FAULTS, SPOILT, TIMED_OUT)
 FAULT_MEMORY = 4  # attempts that make up an upstream's share of faults
 FAULT_SHARE = 0.35  # two faults in three attempts: more than what strikes all upstreams alike does by chance
+DISTRUST_MEMORY = 4  # attempts that make up the distrust of an upstream whose faults are its own
+DISTRUST_BORNE = 0.1  # at this it is drawn a quarter as often: one fault makes it a twelfth
+DISTRUST_HALF_US = 10_000_000  # hazard: with next to no traffic no answer would ever end it
+LEAST_DISTRUST = 0.02  # less is none
+MOST_DISTRUSTED = 1 / 3  # hazard: with more of the upstreams than this, faults strike all alike
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
 GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
 FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
@@ -34,6 +39,8 @@
 CALM_PART = 0.6  # of that, while the warm ones answer fast and need no help
 FEWEST_IN_USE = 4  # upstreams whose slots are open to a sidecar with next to no traffic
 A_SECOND_EACH = 1.5  # sends a second that call for one more: fewer teach nothing, more crowd it
+FEW_INSTANCES = 10  # with more of them, so many times more sends call for one: an upstream serves them all,
+MOST_SENDS = 4.0  # up to so many times: beyond that a busy one among many would crowd the few it has
 SLOWEST_PACE = 4.0  # an answer that takes longer beside the usual one counts as this
 PACE_MEMORY = 4  # answers that make up an upstream's pace
 OVERTAKEN = 4  # later sends answered before it tell an attempt that is lost from one that waits its turn
@@ -91,7 +98,7 @@
     """What this sidecar knows of one upstream."""
 
     __slots__ = ("entry", "pool", "used", "out", "silence", "mute", "mute_until_us", "muted", "window",
-                 "rest_until_us", "next_cold", "pace", "slow_start", "faults", "rests")
+                 "rest_until_us", "next_cold", "pace", "slow_start", "faults", "distrust", "rests")
 
     def __init__(self, entry: api.Upstream, pool: Pool, classes: int) -> None:
         self.entry = entry
@@ -111,6 +118,7 @@
         self.pace = 1.0  # time of its answers beside those of the others, smoothed
         self.slow_start = False  # its slots open fast until its first slow answer or fault
         self.faults = 0.0  # share of its attempts that failed at once or spoilt, smoothed
+        self.distrust = 0.0  # the same, counted only while few upstreams fault
         self.rests = False  # as last logged
 
 
@@ -164,12 +172,15 @@
         self.muted = [0 for _ in settings.classes]  # how many rest for each class
         self.mutes: list[list[tuple[int, int]]] = [[] for _ in settings.classes]  # (until, number); heaps
         self.rests: list[tuple[int, int]] = []  # (until, number), of rests and of warm-ups; a heap
+        self.distrusted: dict[int, int] = {}  # by number, when to look again
+        self.doubts: deque[tuple[int, int]] = deque()  # (when, number), in this order
         self.requests: dict[int, Request] = {}
         self.buffer: Request | None = None
         self.mean_us = [c.aim_us / 4 for c in settings.classes]  # of each class's answers; at first a guess
         # drawn from in this order; a second one where crossing zones costs
         self.pools = [Pool(now_us) for _ in range(2 if settings.cross_zone_fee > 0 else 1)]
         self.reissues = reissues or Reissues()
+        self.a_second_each = A_SECOND_EACH * min(MOST_SENDS, max(1.0, settings.instances / FEW_INSTANCES))
         self.short_us = 0  # when a request last found no free slot
         self.allowed_per_s = max(1.0, sum(t.allowance_per_s for t in settings.tenants))
         self.tenant_seen = [0.0 for _ in settings.tenants]  # arrivals of each, the old ones fading
@@ -333,6 +344,7 @@
         # fault would shut each of them; only turning work away tells at once of the upstream itself
         fault = outcome in INSTANT_FAULTS or outcome is SPOILT
         server.faults += (fault - server.faults) / FAULT_MEMORY
+        self.distrust(server, fault)
         faulty = outcome is TURNED_AWAY or (fault and server.faults > FAULT_SHARE)
         if fault and not faulty and outcome is not SPOILT:
             return  # and its time tells nothing
@@ -376,6 +388,35 @@
         if rests != server.rests and self.log(f"upstream {server.entry.id} {change}"):
             server.rests = rests
 
+    def distrust(self, server: Server, fault: bool) -> None:
+        """Hazard: an upstream that fails a part at once takes the requests that may not be repeated; beside
+        many upstreams a sidecar with little traffic sees each of them too seldom to learn it from a share. So
+        the first fault counts, by the draw alone, as long as few upstreams have any."""
+        if not fault or len(self.distrusted) < MOST_DISTRUSTED * len(self.servers):
+            server.distrust += (fault - server.distrust) / DISTRUST_MEMORY
+            self.keep_distrust(server)
+
+    def keep_distrust(self, server: Server) -> None:
+        """Among the distrusted, till the next look, or not any more."""
+        number = server.entry.id
+        if server.distrust < LEAST_DISTRUST or self.servers.get(number) is not server:
+            server.distrust = 0.0
+            self.distrusted.pop(number, None)
+        elif number not in self.distrusted:
+            self.distrusted[number] = self.now_us + DISTRUST_HALF_US
+            self.doubts.append((self.distrusted[number], number))
+
+    def fade_distrust(self) -> None:
+        """Half of it is left after a while, whether or not there was an answer to learn from."""
+        while self.doubts and self.doubts[0][0] <= self.now_us:
+            until_us, number = self.doubts.popleft()
+            if self.distrusted.get(number) == until_us:
+                server = self.servers[number]
+                server.distrust /= 2.0
+                del self.distrusted[number]
+                self.keep_distrust(server)
+                self.weigh(server)
+
     def warmth(self, server: Server) -> float:
         """Rule 4: the share of its capacity that an upstream surely has. Hazard: calling it warm any sooner
         lets in all sidecars at one moment, and together they push it over."""
@@ -423,7 +464,7 @@
                 self.weigh(self.servers.get(heapq.heappop(pool.cold_waits)[1]))
             groups = pool.cold, pool.in_use, pool.others
             # hazard: each sidecar connected to each upstream fills their tables of connections
-            few = len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH)
+            few = len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / self.a_second_each)
             if few and pool.others.whole > 0.0:
                 groups = pool.cold, pool.others, pool.in_use
             for group in groups:
@@ -485,7 +526,7 @@
         if slots <= 0:
             return 0.0
         size = server.entry.weight if self.settings.draw_by_weight else 1.0
-        return slots * size / server.pace ** 2
+        return slots * size / (server.pace * (1.0 + server.distrust / DISTRUST_BORNE)) ** 2
 
     def size(self, entry: api.Upstream) -> float:
         """What an upstream does beside the others once it is warm, as far as the list tells."""
@@ -511,6 +552,8 @@
 
     def open_rested(self) -> None:
         """Rests and warm-ups that are over by now."""
+        if self.doubts:
+            self.fade_distrust()
         while self.rests and self.rests[0][0] <= self.now_us:
             server = self.servers.get(heapq.heappop(self.rests)[1])
             if server is not None:
@@ -540,6 +583,7 @@
             for group in (pool.in_use, pool.others, pool.cold):
                 group.discard(number)
             pool.size -= self.size(server.entry)
+            self.distrusted.pop(number, None)
             self.muted = [count - muted for count, muted in zip(self.muted, server.muted, strict=True)]
             self.leave_mates(server)
 
