Light sidecars end their thinning in time: an answer after a gap counts for the gap

Ruled out: want of slots (none), load (as before the release). At fault: judge() weighed an answer by the sends of the last 5 s; thinned to a tenth, a light sidecar had a tenth of the answers and each still counted as one of the many before. Change: an answer that lets more in counts for the time since the last one, at least as before; a slow one counts for no more than that time; where no answer comes for a second, half as much more is let in.

--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -50,6 +50,8 @@
 LONGEST_MUTE = 5  # as if so many
 MOST_MUTE = 2 / 3  # hazard: with more upstreams than this resting the fleet is slow, and none rests
 ADMIT_GAIN = 2.4  # a second of slow answers cuts what is admitted to a tenth; slower, queues fill first
+LONGEST_GAP_US = 1_000_000  # between two answers that an answer counts for
+EASE = 1.5  # so many times more is let in after each such time without an answer
 LEAST_ADMITTED = 0.1  # hazard: where service itself has slowed, letting in less mends nothing
 STALE_BORNE = 16  # stale entries that the heap of cold waits may hold besides two for each cold upstream
 DRAWS = 12  # tries at random before all are gone through: most draws need one
@@ -65,7 +67,7 @@
     """Upstreams thinned together: all, or, where crossing zones costs, this zone's and the others'."""
 
     __slots__ = ("admitted", "credit", "load", "served", "in_use", "others", "cold", "cold_waits", "size",
-                 "rate", "rated_us")
+                 "rate", "rated_us", "judged_us")
 
     def __init__(self, now_us: int) -> None:
         self.admitted = 1.0  # part of the draws that may take a slot: falls while answers are slow all over
@@ -81,6 +83,7 @@
         self.size = 0.0  # of all its upstreams, as listed
         self.rate = 0.0  # sends a second, of late
         self.rated_us = now_us
+        self.judged_us = now_us  # when an answer last moved what is admitted
 
 
 class Reissues:
@@ -260,6 +263,9 @@
             self.finish(request)
             return
         for pool in self.pools:
+            if pool.admitted < 1.0 and self.now_us - pool.judged_us > LONGEST_GAP_US:
+                # hazard: with little traffic the answers that would end the thinning come too seldom
+                pool.admitted, pool.judged_us = min(1.0, pool.admitted * EASE), self.now_us
             pool.credit = min(2.0, pool.credit + pool.admitted)
             pool.served += 0.1 * pool.admitted  # if all are cold, nothing else would open their slots
         server = self.draw(request)
@@ -355,7 +361,16 @@
             # hazard: a light sidecar never fills its slots; they hold nothing back when all are slow; draws
             # are thinned, at once as queues stay for seconds, but not for one slow answer among quick ones
             pool.load += (load - pool.load) / 8
-            gain = ADMIT_GAIN / max(1.0, pool.rate) if load < FULL_LOAD or pool.load > 0.5 else 0.0
+            # hazard: by the sends of the last seconds alone, a sidecar with little traffic that thins it to a
+            # tenth would learn too slowly that the jam is over; so an answer after a gap counts for the gap.
+            # Slow ones count for no more than that: those that come in a bunch tell of one moment
+            gap_us = min(self.now_us - pool.judged_us, LONGEST_GAP_US)
+            pool.judged_us = self.now_us
+            gain = ADMIT_GAIN * gap_us / 1e6
+            if load < FULL_LOAD:
+                gain = max(gain, ADMIT_GAIN / max(1.0, pool.rate))
+            elif pool.load <= 0.5:
+                gain = 0.0
             pool.admitted *= max(0.3, 1.0 + gain * (FULL_LOAD - load))
             pool.admitted = min(1.0, max(pool.admitted, LEAST_ADMITTED))
         # hazard: a heavy request is slow by itself; many answers are judged together, each for a little
--- a/tests/decisions/test_slots.py
+++ b/tests/decisions/test_slots.py
@@ -247,6 +247,44 @@
     assert used(40) <= 14 and used(3) > 20
 
 
+def after_a_jam(each_us: int, calm_us: int) -> float:
+    """What a sidecar lets in, so long after a jam in which it had a request each so often."""
+    world = World(settings(instances=40))
+    world.tell_list(upstreams(8))
+    started_us = world.now_us
+    while world.now_us < started_us + 8_000_000 + calm_us:
+        jam = world.now_us < started_us + 8_000_000
+        took_us = 290_000 if jam else 20_000
+        if (world.now_us - started_us) % each_us == 0:
+            world.arrive(PAY)
+        world.advance(10_000)
+        for ident in [ident for ident, owed in world.owed.items() if owed.out()]:
+            owed = world.owed[ident]
+            for attempt in owed.out():
+                if world.now_us >= owed.tries[attempt].sent_us + took_us:
+                    world.end(ident, attempt, Outcome.OK)
+    return world.balancer.pools[0].admitted
+
+
+@pytest.mark.parametrize("each_us", [10_000, 50_000, 150_000, 300_000])
+def test_what_a_jam_thinned_is_let_in_again_in_time_however_little_traffic_there_is(each_us: int) -> None:
+    """Judged by the sends of the last seconds a sidecar with little traffic stays shut for half a minute."""
+    assert after_a_jam(each_us, 0) < 0.5
+    assert after_a_jam(each_us, 5_000_000) > 0.9
+
+
+def test_where_no_answer_comes_a_little_more_is_let_in_each_second() -> None:
+    world = World(settings(instances=40))
+    world.tell_list([])  # nothing can be sent, so nothing is learned
+    pool = world.balancer.pools[0]
+    pool.admitted, seen = 0.1, []
+    for _ in range(20):
+        world.arrive(PAY)
+        world.advance(500_000)
+        seen.append(pool.admitted)
+    assert seen == sorted(seen) and seen[4] < 0.3 and seen[-1] == 1.0
+
+
 def test_drained_upstreams_get_nothing() -> None:
     world = ready_world(2)
     world.tell_list([Upstream(100, UpstreamState.DRAINING), Upstream(101, UpstreamState.GONE)])
