--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -65,6 +65,23 @@
     assert "deployment" not in ast.dump(tree).lower()
 
 
+def test_run_is_one_process_that_uses_nothing_the_platform_refuses() -> None:
+    """Further processes, Unix sockets, splice and sendfile belong to fronts that are off there."""
+    assert DEPLOY["run"].startswith("exec ") and not set(DEPLOY["run"]) & set(";&|`$")
+    code = ("import sys, plovertrail.__main__; "
+            "print(*(m.__file__ for n, m in sys.modules.items() if n.startswith('plovertrail')))")
+    files = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True,
+                           timeout=60).stdout.split()
+    refused = {"fork", "Popen", "create_subprocess_exec", "create_subprocess_shell", "ProcessPoolExecutor",
+               "AF_UNIX", "create_unix_server", "create_unix_connection", "sendfile", "sock_sendfile",
+               "splice"}
+    for file in files:
+        nodes = ast.walk(ast.parse(Path(file).read_text()))
+        used = {getattr(node, "attr", getattr(node, "id", "")) for node in nodes}
+        assert not used & refused, file
+    assert len(files) > 10
+
+
 def test_the_decisions_read_no_name_and_no_number_of_an_instance() -> None:
     text = "".join((ROOT / name).read_text() for name in DEPLOY["policy"])
     assert not [word for word in (".name", "self_index", "entry.kind", "os.environ", "open(") if word in text]
