Forty that ask at once a discovery that turns calls away: tested in virtual time

Needed by the large fleet: each asks again within half of ask_within, never in step (4 at most in 10 ms), all have the list within 1.5 times ask_within at 12 calls a second, and the list on hand serves meanwhile. No change to the program.

--- a/tests/decisions/test_list.py
+++ b/tests/decisions/test_list.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from plovertrail.decisions.balance import Balancer
 from plovertrail.decisions.interface import (
     ListKind,
     Outcome,
+    RequestArrived,
+    Send,
     SetTimer,
     Subscribe,
+    TimerFired,
     Upstream,
     UpstreamState,
     UpstreamsUpdated,
@@ -113,3 +117,52 @@
     world.advance(2_000_000)
     assert world.answer(request) is not None
     assert all(t.at_us > START_US for t in world.log if isinstance(t, SetTimer))
+
+
+def test_forty_that_start_at_once_all_have_the_list_in_time_from_one_that_turns_calls_away() -> None:
+    """Discovery takes three calls in each quarter of a second and turns away the others. Hazard: in step, all
+    would call again at one moment, and most be turned away over and over."""
+    ask_within_us = 10_000_000
+    config = settings(instances=40, list_on_request=True, ask_within_us=ask_within_us)
+    balancers = [Balancer(config, seed, START_US) for seed in range(40)]
+    due = dict.fromkeys(range(40), START_US)
+    asked = dict.fromkeys(range(40), START_US)
+    told: dict[int, int] = {}
+    calls: list[int] = []
+    now_us = START_US
+    while len(told) < 40 and now_us < START_US + 2 * ask_within_us:
+        for number in [number for number, at_us in due.items() if at_us <= now_us]:
+            del due[number]
+            actions = balancers[number].handle(now_us, TimerFired(0))
+            if any(isinstance(action, Subscribe) for action in actions):
+                taken = sum(1 for at_us in told.values() if at_us > now_us - 250_000) < 3
+                calls.append(now_us)
+                assert now_us - asked[number] <= ask_within_us // 2 + 20_000  # rule 3 goes by the asking
+                asked[number] = now_us
+                if taken:
+                    told[number] = now_us
+                kind = ListKind.FULL if taken else ListKind.FAILED
+                listed = [Upstream(1)] if taken else []
+                actions += balancers[number].handle(now_us, UpstreamsUpdated(kind, listed))
+            timers = [action.at_us for action in actions if isinstance(action, SetTimer)]
+            if timers:
+                due[number] = min(timers)
+        now_us += 10_000
+    assert len(told) == 40 and max(told.values()) <= START_US + ask_within_us * 3 // 2
+    later = [at_us for at_us in calls if at_us > START_US + 1_000_000]
+    assert max(later.count(at_us) for at_us in later) <= 4  # never in step
+    assert len(calls) <= 10 * 40
+
+
+def test_one_started_at_once_uses_the_list_it_knows_until_one_comes() -> None:
+    config = settings(instances=40, list_on_request=True, ask_within_us=10_000_000)
+    balancer = Balancer(config, 1, START_US)
+    balancer.handle(START_US, UpstreamsUpdated(ListKind.CACHED, [Upstream(7), Upstream(8)]))
+    balancer.handle(START_US, UpstreamsUpdated(ListKind.FAILED))
+    actions = balancer.handle(START_US, RequestArrived(1, START_US + 400_000))
+    sent = [action for action in actions if isinstance(action, Send)]
+    assert [send.upstream in (7, 8) for send in sent] == [True]
+    balancer.handle(START_US, UpstreamsUpdated(ListKind.FULL, [Upstream(8)]))  # 7 has ended: nothing new
+    for request in range(2, 9):
+        for action in balancer.handle(START_US, RequestArrived(request, START_US + 400_000)):
+            assert not isinstance(action, Send) or action.upstream == 8
