--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -24,9 +24,8 @@
 TELL_OF_LOAD = (*TIMED, TURNED_AWAY)
 # hazard: an upstream failing a part would lose them all
 REISSUED = (*INSTANT_FAULTS, SPOILT, TIMED_OUT)
-FAULT_MEMORY = 4  # attempts that make up an upstream's share of faults
+FAULT_MEMORY = 4  # attempts that make up an upstream's share of faults, and the distrust of it
 FAULT_SHARE = 0.35  # two faults in three attempts: more than what strikes all upstreams alike does by chance
-DISTRUST_MEMORY = 4  # attempts that make up the distrust of an upstream whose faults are its own
 DISTRUST_BORNE = 0.1  # at this it is drawn a quarter as often: one fault makes it a twelfth
 DISTRUST_HALF_US = 10_000_000  # hazard: with next to no traffic no answer would ever end it
 LEAST_DISTRUST = 0.02  # less is none
@@ -36,11 +35,10 @@
 FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
 TENANT_MEMORY = 200  # arrivals: enough to tell a tenant at twice its share from chance, soon forgotten
 COLD_PART = 0.6  # of what pushes a cold upstream over, were the warm ones at their limit: work comes in lumps
-CALM_PART = 0.6  # of that, while the warm ones answer fast and need no help
+CALM_PART = 0.4  # of that, while the warm ones answer fast and need no help;
+HELP_LOAD = 0.4  # of the slow time, where they need all of it: sooner than their slots settle
 FEWEST_IN_USE = 4  # upstreams whose slots are open to a sidecar with next to no traffic
 A_SECOND_EACH = 1.5  # sends a second that call for one more: fewer teach nothing, more crowd it
-FEW_INSTANCES = 10  # with more of them, so many times more sends call for one: an upstream serves them all,
-MOST_SENDS = 4.0  # up to so many times: beyond that a busy one among many would crowd the few it has
 SLOWEST_PACE = 4.0  # an answer that takes longer beside the usual one counts as this
 PACE_MEMORY = 4  # answers that make up an upstream's pace
 OVERTAKEN = 4  # later sends answered before it tell an attempt that is lost from one that waits its turn
@@ -66,8 +64,8 @@
 class Pool:
     """Upstreams thinned together: all, or, where crossing zones costs, this zone's and the others'."""
 
-    __slots__ = ("admitted", "credit", "load", "served", "in_use", "others", "cold", "cold_waits", "size",
-                 "rate", "rated_us", "judged_us")
+    __slots__ = ("admitted", "credit", "load", "served", "in_use", "others", "cold", "groups", "cold_waits",
+                 "size", "rate", "rated_us", "judged_us")
 
     def __init__(self, now_us: int) -> None:
         self.admitted = 1.0  # part of the draws that may take a slot: falls while answers are slow all over
@@ -79,6 +77,7 @@
         self.in_use = WeightedDraw()
         self.others = WeightedDraw()
         self.cold = WeightedDraw()
+        self.groups = self.cold, self.in_use, self.others
         self.cold_waits: list[tuple[float, int]] = []  # (next_cold, number) of cold ones; a heap
         self.size = 0.0  # of all its upstreams, as listed
         self.rate = 0.0  # sends a second, of late
@@ -176,14 +175,13 @@
         self.mutes: list[list[tuple[int, int]]] = [[] for _ in settings.classes]  # (until, number); heaps
         self.rests: list[tuple[int, int]] = []  # (until, number), of rests and of warm-ups; a heap
         self.distrusted: dict[int, int] = {}  # by number, when to look again
-        self.doubts: deque[tuple[int, int]] = deque()  # (when, number), in this order
+        self.doubts: list[tuple[int, int]] = []  # (when, number); a heap
         self.requests: dict[int, Request] = {}
         self.buffer: Request | None = None
         self.mean_us = [c.aim_us / 4 for c in settings.classes]  # of each class's answers; at first a guess
         # drawn from in this order; a second one where crossing zones costs
         self.pools = [Pool(now_us) for _ in range(2 if settings.cross_zone_fee > 0 else 1)]
         self.reissues = reissues or Reissues()
-        self.a_second_each = A_SECOND_EACH * min(MOST_SENDS, max(1.0, settings.instances / FEW_INSTANCES))
         self.short_us = 0  # when a request last found no free slot
         self.allowed_per_s = max(1.0, sum(t.allowance_per_s for t in settings.tenants))
         self.tenant_seen = [0.0 for _ in settings.tenants]  # arrivals of each, the old ones fading
@@ -227,7 +225,7 @@
         self.now_us = now_us
         self.open_rested()
         if self.buffer is None and any(
-                group.whole > 0.0 for pool in self.pools for group in (pool.in_use, pool.others, pool.cold)):
+                group.whole > 0.0 for pool in self.pools for group in pool.groups):
             return True
         self.short_us = now_us
         return False
@@ -350,7 +348,8 @@
         # fault would shut each of them; only turning work away tells at once of the upstream itself
         fault = outcome in INSTANT_FAULTS or outcome is SPOILT
         server.faults += (fault - server.faults) / FAULT_MEMORY
-        self.distrust(server, fault)
+        if fault or server.distrust:
+            self.distrust(server, fault)
         faulty = outcome is TURNED_AWAY or (fault and server.faults > FAULT_SHARE)
         if fault and not faulty and outcome is not SPOILT:
             return  # and its time tells nothing
@@ -407,29 +406,31 @@
         """Hazard: an upstream that fails a part at once takes the requests that may not be repeated; beside
         many upstreams a sidecar with little traffic sees each of them too seldom to learn it from a share. So
         the first fault counts, by the draw alone, as long as few upstreams have any."""
+        if self.servers.get(server.entry.id) is not server:
+            return  # hazard: what ended at one that has gone and come back would be booked to the other
         if not fault or len(self.distrusted) < MOST_DISTRUSTED * len(self.servers):
-            server.distrust += (fault - server.distrust) / DISTRUST_MEMORY
-            self.keep_distrust(server)
+            server.distrust += (fault - server.distrust) / FAULT_MEMORY
+            self.keep_distrust(server, self.now_us)
 
-    def keep_distrust(self, server: Server) -> None:
+    def keep_distrust(self, server: Server, since_us: int) -> None:
         """Among the distrusted, till the next look, or not any more."""
         number = server.entry.id
-        if server.distrust < LEAST_DISTRUST or self.servers.get(number) is not server:
+        if server.distrust < LEAST_DISTRUST:
             server.distrust = 0.0
             self.distrusted.pop(number, None)
         elif number not in self.distrusted:
-            self.distrusted[number] = self.now_us + DISTRUST_HALF_US
-            self.doubts.append((self.distrusted[number], number))
+            self.distrusted[number] = since_us + DISTRUST_HALF_US
+            heapq.heappush(self.doubts, (self.distrusted[number], number))
 
     def fade_distrust(self) -> None:
         """Half of it is left after a while, whether or not there was an answer to learn from."""
         while self.doubts and self.doubts[0][0] <= self.now_us:
-            until_us, number = self.doubts.popleft()
+            until_us, number = heapq.heappop(self.doubts)
             if self.distrusted.get(number) == until_us:
                 server = self.servers[number]
                 server.distrust /= 2.0
                 del self.distrusted[number]
-                self.keep_distrust(server)
+                self.keep_distrust(server, until_us)  # hazard: after a long calm, one step for all of it
                 self.weigh(server)
 
     def warmth(self, server: Server) -> float:
@@ -450,7 +451,7 @@
         pool = server.pool
         cold = [self.servers[number] for number in pool.cold]
         whole = pool.size - sum((1.0 - self.warmth(other)) * self.size(other.entry) for other in cold)
-        burden = CALM_PART + (1.0 - CALM_PART) * min(1.0, pool.load / FULL_LOAD)
+        burden = min(1.0, max(CALM_PART, pool.load / HELP_LOAD))
         borne = min(1.0, self.warmth(server) * COLD_PART * self.settings.overload_factor * burden)
         borne *= min(1.0, server.window)  # hazard: one that turns work away may be about to fall
         server.next_cold = pool.served + part * whole / (borne * self.size(server.entry))
@@ -477,9 +478,9 @@
                 continue
             while pool.cold_waits and pool.cold_waits[0][0] <= pool.served:
                 self.weigh(self.servers.get(heapq.heappop(pool.cold_waits)[1]))
-            groups = pool.cold, pool.in_use, pool.others
+            groups = pool.groups
             # hazard: each sidecar connected to each upstream fills their tables of connections
-            few = len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / self.a_second_each)
+            few = len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH)
             if few and pool.others.whole > 0.0:
                 groups = pool.cold, pool.others, pool.in_use
             for group in groups:
@@ -595,7 +596,7 @@
         server = self.servers.pop(number, None)
         if server is not None:
             pool = server.pool
-            for group in (pool.in_use, pool.others, pool.cold):
+            for group in pool.groups:
                 group.discard(number)
             pool.size -= self.size(server.entry)
             self.distrusted.pop(number, None)
--- a/tests/decisions/test_draw.py
+++ b/tests/decisions/test_draw.py
@@ -12,6 +12,7 @@
 from benchmarks import reference_balance
 from plovertrail.decisions import interface as api
 from plovertrail.decisions.balance import (
+    A_SECOND_EACH,
     DISTRUST_BORNE,
     FEWEST_IN_USE,
     MOST_MUTE,
@@ -51,7 +52,7 @@
                 free_slots(old, request, [server for server in mine if server.entry.id in group], some_rest)
                 for group in (pool.cold, pool.in_use, pool.others)
             )
-            if len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / balancer.a_second_each):
+            if len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH):
                 best, others = others, best
             found = cold or best or others
             if found:
--- a/tests/decisions/test_list.py
+++ b/tests/decisions/test_list.py
@@ -4,6 +4,7 @@
 
 from plovertrail.decisions.balance import Balancer
 from plovertrail.decisions.interface import (
+    AttemptEnded,
     ListKind,
     Outcome,
     RequestArrived,
@@ -162,7 +163,12 @@
     actions = balancer.handle(START_US, RequestArrived(1, START_US + 400_000))
     sent = [action for action in actions if isinstance(action, Send)]
     assert [send.upstream in (7, 8) for send in sent] == [True]
+    balancer.handle(START_US, AttemptEnded(1, 0, sent[0].upstream, Outcome.OK, 10_000, True))
     balancer.handle(START_US, UpstreamsUpdated(ListKind.FULL, [Upstream(8)]))  # 7 has ended: nothing new
+    seen = []
     for request in range(2, 9):
         for action in balancer.handle(START_US, RequestArrived(request, START_US + 400_000)):
-            assert not isinstance(action, Send) or action.upstream == 8
+            if isinstance(action, Send):
+                seen.append(action.upstream)
+                balancer.handle(START_US, AttemptEnded(request, 0, action.upstream, Outcome.OK, 10_000, True))
+    assert set(seen) == {8} and len(seen) >= 6
--- a/tests/decisions/test_slots.py
+++ b/tests/decisions/test_slots.py
@@ -130,7 +130,7 @@
     world.tell_list([Upstream(1, started_us=world.now_us - 1_000), *upstreams(3)])
     churn(world, 150, took_us=20_000)
     cold = sum(1 for s in world.sends() if s.upstream == 1)
-    assert 0 < cold <= 12  # an even share would be 37, and its warmth is a fifth
+    assert 0 < cold <= 8  # an even share would be 37
 
 
 def test_an_upstream_gets_less_than_the_others_until_it_is_warm() -> None:
@@ -138,7 +138,7 @@
     world.tell_list([Upstream(1, started_us=world.now_us - 12_000_000), *upstreams(3)])  # two thirds warm
     churn(world, 1000, took_us=5_000)
     cold = sum(1 for s in world.sends() if s.upstream == 1)
-    assert 0 < cold < 215  # an even share would be 250
+    assert 0 < cold < 190  # an even share would be 250
 
 
 def test_a_cold_upstream_helps_where_the_warm_ones_are_slow() -> None:
@@ -184,18 +184,18 @@
     assert 0 < got(Outcome.FULL) < got(Outcome.OK) / 2
 
 
-def part_after_faults(faulty: set[int], wait_us: int = 0) -> float:
-    """What the upstream 100 gets of an even share among twelve, once these have failed one request each."""
+def part_after(outcome: Outcome, wait_us: int = 0) -> float:
+    """What the upstream 100 gets of an even share among twelve, once its first request has ended so."""
     got = 0
     for seed in range(10):
         world = World(settings(instances=40), seed)
         world.tell_list(upstreams(12))
-        left = set(faulty)
-        while left:
+        upstream = 0
+        while upstream != 100:
             request = world.arrive(PAY)
             upstream = world.sends(request)[0].upstream
-            world.end(request, 0, Outcome.ERROR if upstream in left else Outcome.OK)
-            left.discard(upstream)
+            world.advance(10_000)
+            world.end(request, 0, outcome if upstream == 100 else Outcome.OK)
         world.advance(wait_us)
         before = len(world.sends())
         churn(world, 120, class_index=PAY)
@@ -205,7 +205,7 @@
 
 def test_the_first_fault_of_an_upstream_counts_while_few_others_have_any() -> None:
     """It takes what may not be repeated, and a light sidecar would see it fail once more and once more."""
-    assert part_after_faults({100}) < 0.4
+    assert part_after(Outcome.ERROR) < 0.4 and part_after(Outcome.ERROR) < 0.4 * part_after(Outcome.OK)
 
 
 def test_faults_that_strike_all_alike_shun_none_for_it() -> None:
@@ -221,7 +221,8 @@
 
 
 def test_distrust_fades_without_traffic() -> None:
-    assert part_after_faults({100}, wait_us=120_000_000) > 0.7
+    wait_us = 120_000_000
+    assert part_after(Outcome.ERROR, wait_us) > 0.7 * part_after(Outcome.OK, wait_us)
 
 
 def test_an_upstream_that_left_is_distrusted_no_more() -> None:
@@ -237,14 +238,18 @@
     assert not world.balancer.distrusted and not world.balancer.doubts
 
 
-def test_among_many_instances_one_spreads_over_fewer_upstreams() -> None:
-    def used(instances: int) -> int:
-        world = World(settings(instances=instances))
-        world.tell_list(upstreams(40))
-        churn(world, 800, took_us=25_000)
-        return len({s.upstream for s in world.sends()[-200:]})
-
-    assert used(40) <= 14 and used(3) > 20
+def test_a_late_fault_of_one_that_left_and_came_back_is_not_booked_to_the_new_one() -> None:
+    world = World(settings(instances=40))
+    world.tell_list(upstreams(1))
+    old = world.arrive(PAY)
+    world.tell_list([Upstream(100, UpstreamState.GONE)], ListKind.DELTA)
+    world.tell_list(upstreams(1), ListKind.DELTA)
+    new = world.arrive(PAY)
+    world.end(new, 0, Outcome.ERROR)
+    assert list(world.balancer.distrusted) == [100] and world.balancer.servers[100].distrust > 0
+    before = world.balancer.servers[100].distrust
+    world.end(old, 0, Outcome.ERROR)
+    assert list(world.balancer.distrusted) == [100] and world.balancer.servers[100].distrust == before
 
 
 def after_a_jam(each_us: int, calm_us: int) -> float:
@@ -505,10 +510,9 @@
 
 
 def test_a_sidecar_that_turns_busy_spreads_over_more_upstreams() -> None:
-    for instances, least in ((10, 30), (400, 10)):
-        world = ready_world(60, instances=instances)
-        churn(world, 600, took_us=20_000)
-        assert len({s.upstream for s in world.sends()}) >= least
+    world = ready_world(60, instances=400)
+    churn(world, 600, took_us=20_000)
+    assert len({s.upstream for s in world.sends()}) >= 30
 
 
 def test_an_upstream_slower_than_the_others_is_drawn_less() -> None:
