A cold server with no warm one beside it gets its whole part; its test waits for its turn

Ruled out: the machine's load (fails alone, and four at once), the dials. Change: with no warm server in the pool the burden is whole.

--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -451,7 +451,9 @@
         pool = server.pool
         cold = [self.servers[number] for number in pool.cold]
         whole = pool.size - sum((1.0 - self.warmth(other)) * self.size(other.entry) for other in cold)
-        burden = min(1.0, max(CALM_PART, pool.load / HELP_LOAD))
+        # hazard: beside no warm one at all no answer would tell that help is needed
+        calm_part = CALM_PART if len(pool.in_use) + len(pool.others) > 0 else 1.0
+        burden = min(1.0, max(calm_part, pool.load / HELP_LOAD))
         borne = min(1.0, self.warmth(server) * COLD_PART * self.settings.overload_factor * burden)
         borne *= min(1.0, server.window)  # hazard: one that turns work away may be about to fall
         server.next_cold = pool.served + part * whole / (borne * self.size(server.entry))
--- a/tests/decisions/test_slots.py
+++ b/tests/decisions/test_slots.py
@@ -16,7 +16,7 @@
     Upstream,
     UpstreamState,
 )
-from tests.decisions.world import World, classes, settings, upstreams
+from tests.decisions.world import START_US, World, classes, settings, upstreams
 
 READ, PAY, MARK = 0, 1, 2
 
@@ -158,6 +158,17 @@
     assert 1.4 * even < busy <= 2.0 * even
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_a_cold_upstream_beside_no_warm_one_gets_its_whole_part(seed: int) -> None:
+    """Each request asked for counts a tenth; its turn comes within 2 thirds of one that was served."""
+    world = World(seed=seed)
+    world.tell_list(upstreams(1, started_us=START_US))
+    for _ in range(8):
+        if world.sends(world.arrive(1)):
+            return
+    raise AssertionError("nothing was sent")
+
+
 def test_a_larger_cold_upstream_gets_more_by_its_size() -> None:
     world = World(settings(instances=40, warm_up_us=2_000_000_000, weighted=True))
     cold = [Upstream(1, started_us=world.now_us, weight=3.0), Upstream(2, started_us=world.now_us)]
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -265,7 +265,15 @@
         replies = await asyncio.gather(*(client.reply() for client in clients[50:]))
         # no byte of them had left: they go elsewhere, or are refused as harmless to repeat
         assert {reply.status for reply in replies} <= {200, 503}
-        assert other.count == [reply.status for reply in replies].count(200) > 0
+        assert other.count == [reply.status for reply in replies].count(200)
+        # the one that stays is cold, and its turn in each pool comes at random; but it comes
+        for name, client in zip(names[50:], clients[50:], strict=True):
+            for _ in range(20):
+                client.writer.write(message(f"POST /{name}"))
+                if (await client.reply()).status == 200:
+                    break
+            else:
+                raise AssertionError("a cold server alone in its pool gets no turn")
         assert door.web.count == 50 and max(times) < written
         let_go.set()
         answers = await asyncio.gather(*(client.reply() for client in clients[:50]))
