A discovery change older than what is known is not taken; the whole list is asked for

Cause: Directory.read took each change whatever its version; put back to an older state, or answered by one that lags, discovery's change called a drained server well, and it got requests again (rule 3). Seen by a test over loopback. Change: such a change ends its watch, nothing behind it on that watch is taken, and the whole list is asked for, which holds whatever its version is. Ruled out: an answer cut in half changes nothing already; a test says so now.

--- a/plovertrail/sources/discovery.py
+++ b/plovertrail/sources/discovery.py
@@ -37,6 +37,10 @@
 Listener = Callable[[UpstreamsUpdated, dict[int, Address]], None]
 
 
+class OlderChangeError(ValueError):
+    """A change from before what is known: discovery has been put back, or one that lags has answered."""
+
+
 def endpoint(text: str) -> Address:
     """Hazard: a name would be looked up, and a port out of range leave each attempt to its time-out."""
     host, port = parse_address(text)
@@ -65,15 +69,20 @@
     def servers(self) -> int:
         return len(self.state.members)
 
-    def read_line(self, line: bytes) -> tuple[UpstreamsUpdated, dict[int, Address]]:
-        """The event for one line of a watch."""
-        return self.read(parse(line))
+    def read_line(self, line: bytes, known: int = 0) -> tuple[UpstreamsUpdated, dict[int, Address]]:
+        """The event for one line of a watch; `known` is the version of what it changes."""
+        return self.read(parse(line), known=known)
 
-    def read(self, lines: Any, kind: ListKind | None = None) -> tuple[UpstreamsUpdated, dict[int, Address]]:
+    def read(self, lines: Any, kind: ListKind | None = None,
+             known: int = 0) -> tuple[UpstreamsUpdated, dict[int, Address]]:
         """The event for one list, with the addresses of its entries; raises on what is malformed, and then
-        nothing of it has been taken."""
+        nothing of it has been taken. Hazard: a change from before the known version would put a server that
+        was told to drain back to work (rule 3); a whole list holds whatever its version is."""
+        rev = int(lines["rev"])
         if kind is None:
             kind = ListKind.FULL if lines["all"] else ListKind.DELTA
+        if kind is ListKind.DELTA and rev < known:
+            raise OlderChangeError(f"a change of version {rev} after version {known}")
         listed: dict[str, Entry] = {}
         if kind is ListKind.DELTA:
             listed = {entry.id: entry for layer in self.state.layers for entry in layer.entries}
@@ -82,7 +91,6 @@
             listed.pop(entry.id, None)
             if STATES[line["state"]] is not UpstreamState.GONE:
                 listed[entry.id] = entry
-        rev = int(lines["rev"])
         candidate = Candidate("discovery", tuple(listed.values()))
         self.state, changes, report = reduce(self.state, candidate, clock_us(), UNGUARDED)
         if report.loud:
@@ -243,7 +251,11 @@
     def line(self, watch: Watch, line: bytes) -> None:
         """A list or a change has come; raises on what is malformed, if it is read at once."""
         if self.reading is None and len(line) <= SHORT_LINE and self.directory.servers <= FEW_SERVERS:
-            self.changed(watch, *self.directory.read_line(line))
+            try:
+                self.changed(watch, *self.directory.read_line(line, self.known_to(watch)))
+            except OlderChangeError:
+                self.put_back(watch)
+                raise
             return
         self.unread.append((watch, line))
         self.unread_bytes += len(line)
@@ -263,9 +275,12 @@
             watch, line = self.unread.popleft()
             self.unread_bytes -= len(line)
             try:
-                self.changed(watch, *await asyncio.to_thread(self.directory.read_line, line))
+                read = await asyncio.to_thread(self.directory.read_line, line, self.known_to(watch))
+                self.changed(watch, *read)
             except Exception as error:
                 log.warning("the watch can't be read: %r", error)
+                if isinstance(error, OlderChangeError):
+                    self.put_back(watch)
                 watch.fail()
             self.heard()  # what was not taken meanwhile is no silence
             if (watch.transport is not None and len(self.unread) < MOST_UNREAD // 2
@@ -273,6 +288,19 @@
                 watch.transport.resume_reading()
         self.reading = None
 
+    def known_to(self, watch: Watch) -> int:
+        """The version that a watch's changes are held against; hazard: those of another address mean nothing
+        here."""
+        return self.version if watch.address == self.address else 0
+
+    def put_back(self, watch: Watch) -> None:
+        """A change from before what is known has come: what follows it on this watch is of another past as
+        well, and the whole list is asked for."""
+        if watch.address == self.address:
+            self.version = 0
+        self.unread = deque(each for each in self.unread if each[0] is not watch)
+        self.unread_bytes = sum(len(line) for _, line in self.unread)
+
     def changed(self, watch: Watch, event: UpstreamsUpdated, addresses: dict[int, Address]) -> None:
         if watch.address == self.address:  # hazard: the versions of another one mean nothing here
             self.version = event.version
--- /dev/null
+++ b/tests/decisions/fleet.py
@@ -0,0 +1,195 @@
+"""Forty balancers and their upstreams on a virtual clock, counted and held to the rules over all of them.
+
+Upstreams serve one request at a time, turn away what would wait too long, and take only so many connections;
+balancers keep a connection for each answer's next request. All of it is drawn from a seed.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from plovertrail.decisions.balance import Balancer
+from plovertrail.decisions.interface import (
+    AttemptEnded,
+    CloseIdle,
+    Event,
+    Fail,
+    ListKind,
+    Outcome,
+    Refuse,
+    RequestArrived,
+    Send,
+    SetTimer,
+    TimerFired,
+    Upstream,
+    UpstreamState,
+    UpstreamsUpdated,
+)
+from tests.decisions.world import START_US, settings
+
+SECOND_US = 1_000_000
+GRACE_US = 2 * SECOND_US  # rule 3
+WORK_US = 20_000  # a request's, on a warm upstream
+LONGEST_WAIT_US = 200_000
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+
+
+@dataclass
+class Server:
+    """What one upstream has done and been sent."""
+
+    entry: Upstream
+    table: int  # connections that it takes
+    free_us: int = 0
+    silent: bool = False
+    left_us: int | None = None  # since when its leave is told
+    connections: int = 0
+    sent: list[int] = field(default_factory=list)
+
+    def warmth(self, now_us: int, cold_share: float, warm_up_us: int) -> float:
+        age_us = now_us - self.entry.started_us
+        return min(1.0, cold_share + (1 - cold_share) * age_us / warm_up_us) if self.entry.started_us else 1.0
+
+
+class Fleet:
+    def __init__(self, servers: int, table: int = 1_000, sidecars: int = 40, seed: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.settings = settings(instances=sidecars, second_copies=False, overload_factor=2.5)
+        self.now_us = START_US
+        self.balancers = [Balancer(self.settings, number, START_US) for number in range(sidecars)]
+        self.servers = {number: Server(Upstream(number, zone=number % 3), table)
+                        for number in range(1, servers + 1)}
+        self.idle: Counter[tuple[int, int]] = Counter()  # (sidecar, upstream)
+        self.due: list[tuple[int, int, int, Event]] = []
+        self.order = 0
+        self.asked = 0
+        self.owed: dict[int, tuple[int, RequestArrived]] = {}  # by request, its sidecar
+        self.ran: Counter[int] = Counter()  # by request, attempts that may have run
+        self.tries: dict[int, int] = {}
+        self.ended: Counter[str] = Counter()
+        self.outcomes: Counter[Outcome] = Counter()
+        for number in range(sidecars):
+            listed = [server.entry for server in self.servers.values()]
+            self.tell(number, UpstreamsUpdated(ListKind.FULL, listed))
+
+    def at(self, at_us: int, sidecar: int, event: Event) -> None:
+        self.order += 1
+        heapq.heappush(self.due, (at_us, self.order, sidecar, event))
+
+    def change(self, entry: Upstream, late_us: int = 0) -> None:
+        """All are told of it, each at a time of its own within `late_us`."""
+        if entry.state is UpstreamState.READY:
+            self.servers[entry.id] = Server(entry, next(iter(self.servers.values())).table)
+        else:
+            self.servers[entry.id].left_us = self.now_us + late_us
+        for number in range(len(self.balancers)):
+            told_us = self.now_us + int(self.random.random() * late_us)
+            self.at(told_us, number, UpstreamsUpdated(ListKind.DELTA, [entry]))
+
+    def tell(self, sidecar: int, event: Event) -> None:
+        if isinstance(event, AttemptEnded):
+            self.outcomes[event.outcome] += 1
+            if event.outcome is Outcome.OK:
+                self.answer(event.request, "served")
+                self.idle[sidecar, event.upstream] += 1
+            elif event.outcome in (Outcome.TIMEOUT, Outcome.RESET):
+                self.servers[event.upstream].connections -= 1
+        for action in self.balancers[sidecar].handle(self.now_us, event):
+            if isinstance(action, Send):
+                self.send(sidecar, action)
+            elif isinstance(action, Refuse | Fail):
+                refused = isinstance(action, Refuse)
+                request = self.owed[action.request][1]
+                unsafe = self.settings.classes[request.class_index].effect == "at_most_once"
+                may_have_run = unsafe and self.ran[action.request] > 0
+                assert not (refused and may_have_run), "rule 2: refused, and may have run"
+                self.answer(action.request, "refused" if refused else "failed")
+            elif isinstance(action, SetTimer):
+                self.at(action.at_us, sidecar, TimerFired(action.token))
+            elif isinstance(action, CloseIdle):
+                self.servers[action.upstream].connections -= self.idle.pop((sidecar, action.upstream), 0)
+
+    def answer(self, request: int, how: str) -> None:
+        _, event = self.owed.pop(request)  # rule 1: raises on a second answer
+        assert self.now_us <= event.due_us + 4 * self.settings.tick_us, "rule 1: answered late"
+        self.ended[how] += 1
+
+    def send(self, sidecar: int, send: Send) -> None:
+        server, now_us = self.servers[send.upstream], self.now_us
+        assert send.request in self.owed, "rule 1: a send after the end"
+        assert server.left_us is None or now_us <= server.left_us + GRACE_US, "rule 3: sent after its leave"
+        nth = self.tries[send.request] = self.tries.get(send.request, -1) + 1
+        index = self.owed[send.request][1].class_index
+        if self.settings.classes[index].effect == "at_most_once":
+            assert not self.ran[send.request], "rule 2: an unsafe request twice"
+        server.sent.append(now_us)
+
+        def ends(after_us: int, how: Outcome) -> None:
+            ended = AttemptEnded(send.request, nth, send.upstream, how, after_us, how is Outcome.OK)
+            self.at(now_us + after_us, sidecar, ended)
+
+        if self.idle[sidecar, send.upstream]:
+            self.idle[sidecar, send.upstream] -= 1
+        elif server.connections >= server.table:
+            ends(2_000, Outcome.CONNECT_FAILED)
+            return
+        else:
+            server.connections += 1
+        warmth = server.warmth(now_us, self.settings.cold_share, self.settings.warm_up_us)
+        ready_us = max(server.free_us, now_us) + int(WORK_US / warmth)
+        if server.silent:
+            self.ran[send.request] += 1
+            reset_us = 100_000  # half of them by what lies between, the others by their time
+            if self.random.random() < 0.5 and reset_us < send.timeout_us:
+                ends(reset_us, Outcome.RESET)
+            else:
+                ends(send.timeout_us, Outcome.TIMEOUT)
+        elif ready_us > now_us + LONGEST_WAIT_US:
+            server.connections -= 1  # it ends the connection with what it turns away
+            ends(2_000, Outcome.FULL)
+        else:
+            server.free_us = ready_us
+            self.ran[send.request] += 1
+            after_us = ready_us - now_us + 1_000
+            in_time = after_us <= send.timeout_us
+            ends(min(after_us, send.timeout_us), Outcome.OK if in_time else Outcome.TIMEOUT)
+
+    def run(self, until_us: int) -> None:
+        while self.due and self.due[0][0] <= until_us:
+            self.now_us, _, sidecar, event = heapq.heappop(self.due)
+            self.tell(sidecar, event)
+        self.now_us = until_us
+
+    def play(self, seconds: float, per_s: float) -> None:
+        """Requests of all classes, to sidecars drawn at random."""
+        end_us = self.now_us + int(seconds * SECOND_US)
+        while True:
+            at_us = self.now_us + int(self.random.expovariate(per_s / SECOND_US))
+            if at_us >= end_us:
+                break
+            self.run(at_us)
+            index = self.random.randrange(len(self.settings.classes))
+            sidecar = self.random.randrange(len(self.balancers))
+            self.asked += 1
+            due_us = self.now_us + self.settings.classes[index].deadline_us
+            event = RequestArrived(self.asked, due_us, index)
+            self.owed[self.asked] = sidecar, event
+            self.tell(sidecar, event)
+        self.run(end_us)
+
+    def settle(self) -> None:
+        """Till each request has its answer."""
+        self.run(self.now_us + 3 * SECOND_US)
+        assert not self.owed, "rule 1: without an answer"
+
+    def pushed(self, number: int) -> float:
+        """The most work sent to a cold upstream in any `fall_us`, of what pushes it over."""
+        server, s, worst = self.servers[number], self.settings, 0.0
+        for start in server.sent:
+            work = WORK_US * sum(1 for at_us in server.sent if start <= at_us < start + s.fall_us)
+            warmth = server.warmth(start, s.cold_share, s.warm_up_us)
+            worst = max(worst, work / (s.overload_factor * warmth * s.fall_us))
+        return worst
--- a/tests/sources/test_discovery.py
+++ b/tests/sources/test_discovery.py
@@ -8,7 +8,7 @@
 import pytest
 
 from plovertrail.decisions.interface import ListKind, UpstreamState
-from plovertrail.sources.discovery import Directory
+from plovertrail.sources.discovery import Directory, OlderChangeError
 from tests.net import entry, listing
 
 
@@ -83,3 +83,22 @@
         wanted, whole = follower.read(listing(*listed.values()))
         ready = sorted(whole[each.id] for each in wanted.upstreams if each.state is UpstreamState.READY)
         assert sorted(served.values()) == ready
+
+
+def test_forty_whose_discovery_is_put_back_send_nothing_to_what_had_left() -> None:
+    """All were told at version 9 that three of six leave; then changes of version 4 call them well."""
+    rng = random.Random(3)
+    names = "abcdef"
+    for _ in range(40):
+        directory = Directory(["a"], ["m"])
+        directory.read(listing(*(entry(name, port) for port, name in enumerate(names, 1)), rev=8))
+        directory.read(listing(*(entry(name, names.index(name) + 1, rng.choice(["leaving", "left"]))
+                                 for name in "abc"), rev=9, full=False))
+        before = directory.state
+        with pytest.raises(OlderChangeError, match="version 4 after version 9"):
+            directory.read(listing(entry("a", 1), entry("b", 2), rev=4, full=False), known=9)
+        assert directory.state is before
+        ready = {name for name, member in directory.state.members.items() if not member.entry.drain}
+        assert ready == set("def")
+        event, _ = directory.read(listing(entry("a", 1), rev=4), known=9)  # a whole list holds
+        assert event.kind is ListKind.FULL and set(directory.state.members) == {"a"}
--- a/tests/sources/test_long_lists.py
+++ b/tests/sources/test_long_lists.py
@@ -129,10 +129,10 @@
         loop = asyncio.get_running_loop()
         read = told.discovery.directory.read_line
 
-        def slowly(line: bytes) -> Any:
+        def slowly(line: bytes, known: int) -> Any:
             loop.call_soon_threadsafe(begun.set)
             asyncio.run_coroutine_threadsafe(go_on.wait(), loop).result(20)
-            return read(line)
+            return read(line, known)
 
         monkeypatch.setattr(told.discovery.directory, "read_line", slowly)
         told.come(listing(entry("x", 1)))
@@ -143,3 +143,17 @@
         assert len(told.events) == 1
 
     run(test)
+
+
+def test_what_waits_behind_an_older_change_is_of_another_past_and_is_not_taken() -> None:
+    async def test() -> None:
+        told = Told()
+        told.come(listing(entry("x", 1), rev=9))
+        told.come(listing(entry("x", 1, "leaving"), rev=10, full=False))
+        told.come(listing(entry("x", 1), rev=4, full=False))
+        told.come(listing(entry("x", 1), rev=5, full=False))
+        await told.read()
+        assert [event.version for event in told.events if event.version] == [9, 10]
+        assert told.discovery.version == 0
+
+    run(test)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import time
 from collections.abc import Awaitable, Callable
@@ -619,6 +620,56 @@
     run(test)
 
 
+def test_a_list_whose_version_goes_back_brings_no_drained_server_back_and_the_whole_is_asked_for() -> None:
+    """Discovery is put back to an older state: its change calls the drained server well."""
+
+    async def test() -> None:
+        old, new, discovery = Upstream(answering(OK)), Upstream(answering(OK)), Discovery()
+        await new.start()
+        async with sidecar(old, discovery=discovery) as it:
+            await discovery.watched()
+            changes = [entry("u0", old.port, "leaving"), entry("u1", new.port)]
+            discovery.line(listing(*changes, rev=9, full=False))
+            while not new.requests:
+                assert status(await it.ask(request())) == 200
+            before = len(old.requests)
+            discovery.line(listing(entry("u0", old.port), rev=4, full=False))
+            await discovery.watched()
+            assert b"since=0 " in discovery.calls[1]
+            for _ in range(10):
+                assert status(await it.ask(request())) == 200
+            assert len(old.requests) == before
+            # a whole list holds whatever its version is, and later changes are held against that
+            discovery.line(listing(entry("u0", old.port), rev=4))
+            while len(old.requests) == before:
+                assert status(await it.ask(request())) == 200
+            discovery.writers[-1].transport.abort()
+            await discovery.watched()
+            assert b"since=4 " in discovery.calls[2]
+        new.stop()
+
+    run(test)
+
+
+@pytest.mark.parametrize("cut", [1, 40, -1])
+def test_an_answer_of_discovery_cut_in_half_changes_nothing_and_is_asked_for_again(cut: int) -> None:
+    async def test() -> None:
+        upstream, discovery = Upstream(answering(OK)), Discovery()
+        async with sidecar(upstream, discovery=discovery) as it:
+            await discovery.watched()
+            whole = json.dumps(listing(entry("u0", upstream.port, "leaving"), rev=9, full=False)).encode()
+            discovery.writers[-1].write(b"%x\r\n%s" % (len(whole) + 1, whole[:cut]))
+            discovery.writers[-1].close()
+            await discovery.watched()
+            assert b"since=1 " in discovery.calls[1]
+            assert status(await it.ask(request())) == 200
+            discovery.line(listing(entry("u0", upstream.port, "leaving"), rev=9, full=False))
+            while status(await it.ask(request())) != 503:
+                pass
+
+    run(test)
+
+
 def test_a_known_list_that_can_not_be_read_is_passed_over_and_a_new_one_asked_for() -> None:
     async def test() -> None:
         up = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
