--- a/plovertrail/cli/control.py
+++ b/plovertrail/cli/control.py
@@ -53,6 +53,24 @@
     click.echo(f"{pool} {server}: drained by hand no more")
 
 
+def tell_peers(peers: dict[str, Any]) -> None:
+    """Who counts together with this instance, and how far the counts may be off."""
+    if not peers:
+        return
+    bound = peers["bound"]
+    click.echo(f"peers: {peers['name']} hears {peers['heard']} of {peers['size'] - 1}; counts are at most "
+               f"{bound['under']:.1%} too low, {bound['over']:.1%} too high, of rate times window")
+    for told in [peers["problem"], *(f"two instances are called {name}" for name in peers["twins"])]:
+        if told:
+            click.echo(f"  ! {told}")
+    for address, peer in peers["peers"].items():
+        heard = "never heard" if peer["heard_s_ago"] is None else (
+            f"heard {peer['heard_s_ago']:.2f} s ago, {peer['loss']:.1%} lost")
+        click.echo(f"  {address} {peer['name'] or '?'}: {heard}")
+    for name, each in peers["counts"].items():
+        click.echo(f"  {name}: {each['own']:g} here, {each['fleet']:g} in the fleet")
+
+
 @click.command()
 @SOCKET
 @click.option("--json", "as_json", is_flag=True, help="All of it, as JSON.")
@@ -70,5 +88,6 @@
                 click.echo(f"  ! {told}")
             for server in pool["servers"]:
                 click.echo(f"  {server['id']} {server['address']} {server['state']}, {server['open']} open")
+        tell_peers(found.get("peers") or {})
     if any(pool["problems"] for pool in found["pools"].values()):
         sys.exit(3)
--- a/plovertrail/cli/top.py
+++ b/plovertrail/cli/top.py
@@ -10,15 +10,17 @@
 
 from plovertrail.cli.control import SOCKET, ask
 
+SHARED = ("counted over the fleet", "here", "in all")
 Figures = dict[str, dict[str, dict[str, Any]]]  # of each tenant, by pool
 COLUMNS = ("pool", "tenant", "weight", "share", "admitted/s", "refused/s", "waiting", "at work", "work ms",
            "wait ms")
 
 
-def figures(path: str) -> Figures:
-    """What the daemon tells now."""
-    pools = ask(path, do="status")["status"]["pools"]
-    return {name: pool["fair"] for name, pool in pools.items() if pool.get("fair")}
+def look(path: str) -> tuple[Figures, dict[str, Any]]:
+    """What the daemon tells now: of its tenants, and of what all instances have counted together."""
+    status = ask(path, do="status")["status"]
+    doors = {name: pool["fair"] for name, pool in status["pools"].items() if pool.get("fair")}
+    return doors, status.get("peers") or {}
 
 
 def rows(before: Figures, now: Figures, seconds: float) -> list[list[str]]:
@@ -44,8 +46,15 @@
     return found
 
 
-def drawn(lines: list[list[str]]) -> Any:
-    """The table, for a terminal."""
+def shared_rows(peers: dict[str, Any]) -> list[list[str]]:
+    """A line for each count that holds anything, the largest first."""
+    counts = sorted(peers.get("counts", {}).items(), key=lambda pair: -float(pair[1]["fleet"]))
+    return [[name, f"{each['own']:.0f}", f"{each['fleet']:.0f}"] for name, each in counts if each["fleet"]]
+
+
+def drawn(lines: list[list[str]], peers: dict[str, Any] | None = None) -> Any:
+    """The tables, for a terminal."""
+    from rich.console import Group
     from rich.table import Table
 
     table = Table(*COLUMNS)
@@ -53,7 +62,14 @@
         table.columns[number].justify = "right"
     for line in lines:
         table.add_row(*line)
-    return table
+    if not peers:
+        return table
+    bound = peers["bound"]
+    counted = Table(*SHARED, title=f"{peers['heard']} of {peers['size'] - 1} peers heard; at most "
+                    f"{bound['under']:.1%} too low, {bound['over']:.1%} too high")
+    for line in shared_rows(peers):
+        counted.add_row(*line)
+    return Group(table, counted)
 
 
 @click.command()
@@ -68,17 +84,17 @@
     except ImportError as error:
         click.echo(f"it can't be drawn here: {error}; install plovertrail[top]", err=True)
         sys.exit(2)
-    before, at = figures(path), time.monotonic()
-    if not before:
+    (before, peers), at = look(path), time.monotonic()
+    if not before and not peers:
         click.echo("no pool shares its slots; write fair = {} in [pools.NAME]")
         return
     looks = 0
-    with Live(drawn(rows({}, before, 1.0)), console=Console(), auto_refresh=False) as live:
+    with Live(drawn(rows({}, before, 1.0), peers), console=Console(), auto_refresh=False) as live:
         try:
             while not times or looks < times:
                 time.sleep(every)
-                now, then = figures(path), time.monotonic()
-                live.update(drawn(rows(before, now, then - at)), refresh=True)
+                (now, peers), then = look(path), time.monotonic()
+                live.update(drawn(rows(before, now, then - at), peers), refresh=True)
                 before, at, looks = now, then, looks + 1
         except KeyboardInterrupt:
             return
--- a/plovertrail/config/operator.py
+++ b/plovertrail/config/operator.py
@@ -22,6 +22,7 @@
 
 from plovertrail.config import limiters
 from plovertrail.config.hooks import MOST_A_ROUTE, HookSetup, read_hooks
+from plovertrail.config.peers import PeersSetup, read_peers
 from plovertrail.config.problems import ConfigError, Problem, did_you_mean
 from plovertrail.config.tables import duration_us, key_path, read_table, size_bytes
 from plovertrail.decisions import sockets
@@ -91,6 +92,7 @@
 class TenantTable(msgspec.Struct, kw_only=True):
     allowance_per_s: Annotated[float, msgspec.Meta(ge=0)]
     weight: Annotated[float, msgspec.Meta(ge=0, le=1000)] = 1.0
+    scope: Literal["instance", "fleet"] = "instance"
 
 
 class ClassTable(msgspec.Struct, kw_only=True):
@@ -242,6 +244,7 @@
     fleet: dict[str, Any] = {}
     hooks: dict[str, Any] = {}
     limiters: dict[str, Any] = {}
+    peers: dict[str, Any] = {}
 
 
 # What the daemon is built from
@@ -338,6 +341,8 @@
     hooked: Mapping[str, HookedRoute]  # by the routes' names; those that have hooks
     limiters: Mapping[str, LimiterSettings]
     limited: Mapping[str, tuple[str, ...]]  # the limiters of routes, by the routes' names
+    peers: PeersSetup | None  # None: this instance counts alone
+    fleet_tenants: frozenset[int]  # the tenants whose allowance is for all instances
 
     def classes_at(self, pool: str) -> list[RequestClass]:
         """Those whose requests may go to a pool."""
@@ -401,7 +406,7 @@
             # read on with what there is, so that all problems are told at once
             parts: dict[str, Any] = {"listeners": {}, "pools": {}, "classes": {}, "limits": {}, "tenants": {},
                                      "daemon": {}, "websockets": {}, "fleet": {}, "hooks": {}, "limiters": {},
-                                     "routes": []}
+                                     "peers": {}, "routes": []}
             parts |= {key: item for key, item in raw.items() if type(item) is type(parts.get(key))}
             whole = FileTable(**parts)
         limits, instances = self.limits(whole.limits)
@@ -419,7 +424,11 @@
         fleet = self.fleet(whole.fleet, instances, pools)
         hooks = read_hooks(whole.hooks, self.problems)
         self.hooked: dict[str, HookedRoute] = {}
-        limited_by = limiters.read_limiters(whole.limiters, whole.tenants, self.problems)
+        limited_by = limiters.read_limiters(whole.limiters, whole.tenants, bool(whole.peers), self.problems)
+        peers = None
+        if whole.peers:
+            peers = read_peers(whole.peers, self.address, self.environment, self.problems)
+        fleet_tenants = self.fleet_tenants(whole)
         self.limited: dict[str, tuple[str, ...]] = {}
         routes = self.routes(whole.routes, classes, whole)
         if not whole.routes and "routes" in raw:
@@ -430,7 +439,8 @@
             return None
         return Setup(self.path, limits, tuple(listeners), pools, tuple(classes.values()), key_headers,
                      tuple(tenants), RouteTable(routes), daemon.state_file, daemon.control_socket,
-                     daemon.socket_log, websockets, fleet, hooks, self.hooked, limited_by, self.limited)
+                     daemon.socket_log, websockets, fleet, hooks, self.hooked, limited_by, self.limited,
+                     peers, fleet_tenants)
 
     def name(self, name: str, place: str) -> None:
         if not NAME.fullmatch(name):
@@ -597,16 +607,31 @@
         wait_us = duration_us(fair.max_wait, f"{place}.max_wait", self.problems)
         return DoorSettings(self.weights, fair.default_weight, fair.max_waiting, wait_us, max_retry_after_us)
 
+    def environment(self, text: str, place: str) -> str:
+        """A value that is written, or that the environment has."""
+        if not text.startswith(FROM_ENVIRONMENT):
+            return text
+        variable = text.removeprefix(FROM_ENVIRONMENT)
+        found = os.environ.get(variable, "")
+        if not found:
+            self.wrong(place, f"the environment has no {variable}",
+                       "set it to one that this instance alone has, the same at each start")
+        return found
+
+    def fleet_tenants(self, whole: FileTable) -> frozenset[int]:
+        """The numbers of the tenants whose allowance is for all instances."""
+        found = [number for number, (name, item) in enumerate(whole.tenants.items())
+                 if isinstance(item, dict) and item.get("scope") == "fleet"]
+        if found and not whole.peers:
+            name = list(whole.tenants)[found[0]]
+            self.wrong(f"{key_path('tenants', name)}.scope", "instances don't count together here",
+                       'write [peers], or scope = "instance"')
+        return frozenset(found)
+
     def fleet(self, raw: object, instances: int, pools: Mapping[str, Pool]) -> FleetSetup:
         """Who this instance is among those that share the servers."""
         table = read_table(FleetTable, raw, "fleet", self.problems) or FleetTable()
-        name = table.name
-        if name.startswith(FROM_ENVIRONMENT):
-            variable = name.removeprefix(FROM_ENVIRONMENT)
-            name = os.environ.get(variable, "")
-            if not name:
-                self.wrong("fleet.name", f"the environment has no {variable}",
-                           "set it to a name that this instance alone has, the same at each start")
+        name = self.environment(table.name, "fleet.name")
         for pool in pools.values():
             if pool.bounds.servers and not table.name:
                 # hazard: instances of one name would all have the same servers
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -31,12 +31,14 @@
 from plovertrail.generation import Current, Generation, make_generation
 from plovertrail.host import Host, ServerPool
 from plovertrail.line_log import LineLog
+from plovertrail.peers.keeper import PeerKeeper
 from plovertrail.roster import FirstRead, Roster
 from plovertrail.sources.files import FileSource, FileWatch, first_read
 from plovertrail.state_keeper import StateKeeper
 from plovertrail.upstreams.connections import AnswerRules, ConnectionPool
 
 if TYPE_CHECKING:
+    from plovertrail.decisions.counts import Counts
     from plovertrail.hooks.engine import Compiled
     from plovertrail.hooks.hook import Hook
     from plovertrail.hooks.keeper import HookKeeper
@@ -237,6 +239,7 @@
         self.fleet_problem = ""
         self.hooks = HookLoader(clock_us)
         self.limiters: dict[str, Limiter] = {}
+        self.peers = PeerKeeper(seeds)
         self.current = Current(Generation(0, setup, {}, {}, {}))
         compiled = self.hooks.prepare(setup)
         self.apply(setup, read_lists(setup, frozenset()), compiled)
@@ -254,7 +257,13 @@
         """Put a setup into force, in full or not at all; `fresh` has the lists that are not watched yet,
         `compiled` the modules of its hooks. Raises ConfigError."""
         check_descriptors(setup)
-        sockets = self._bind(setup)
+        talks = self._bind_peers(setup)
+        try:
+            sockets = self._bind(setup)
+        except ConfigError:
+            if talks is not None:
+                talks.close()
+            raise
         # from here on nothing fails
         before, pools = dict(self.pools), dict[str, RunningPool]()
         replaced = []
@@ -279,7 +288,7 @@
             pools[name] = pool
         self.pools = pools  # till here the old ones, which tell what servers are known already
         modules: dict[str, ServerPool] = {name: pool.pool for name, pool in pools.items()}
-        self._follow_limits(setup)
+        self._follow_limits(setup, self._follow_peers(setup, talks))
         self.current.generation = make_generation(self.generation.number + 1, setup, modules,
                                                   self.hooks.follow(setup, compiled), self.limiters)
         self._move_listeners(setup, sockets)
@@ -294,7 +303,21 @@
         self._follow_fleet(setup.fleet)
         self._list_changed()
 
-    def _follow_limits(self, setup: operator.Setup) -> None:
+    def _bind_peers(self, setup: operator.Setup) -> socket.socket | None:
+        return self.peers.bind(setup)
+
+    def _follow_peers(self, setup: operator.Setup, sock: socket.socket | None) -> Counts | None:
+        """Count together with other instances, where the setup says so."""
+        counts = self.peers.follow(setup.peers, sock)
+        self.host.tenant_use = None
+        if counts is not None and setup.fleet_tenants:
+            from plovertrail.decisions.counts import TenantUse
+
+            names = [tenant.name for tenant in setup.tenants]
+            self.host.tenant_use = TenantUse(counts, names, setup.fleet_tenants)
+        return counts
+
+    def _follow_limits(self, setup: operator.Setup, counts: Counts | None) -> None:
         """What keys have had counts on under other figures. Hazard: begun anew by every reload, a limit would
         let each key have its burst again."""
         before, self.limiters = self.limiters, {}
@@ -303,6 +326,7 @@
             if limiter is None:
                 limiter = Limiter(settings, random.Random(self.seeds()).random)
             limiter.configure(settings)
+            limiter.counts = counts if settings.fleet_wide else None
             self.limiters[name] = limiter
 
     def _follow_fleet(self, setup: operator.FleetSetup) -> None:
@@ -469,6 +493,7 @@
                 "connections": self.count(), "requests": len(self.host.requests),
                 "sockets": len(self.sockets.relays),
                 "hooks": self.hooks.status(),
+                "peers": self.peers.status(self.generation.setup, self.limiters),
                 "limiters": {name: limiter_status(each) for name, each in self.limiters.items()},
                 "state_file": self.keeper.problem or ("kept" if self.keeper.path else "off")}
 
@@ -484,6 +509,7 @@
             pool.roster.stop()
         if self.fleet_watch is not None:
             self.fleet_watch.stop()
+        self.peers.stop()
         longest_us = max(kind.deadline_us for kind in self.generation.setup.classes)
         for front in fronts:
             front.drain_backlog()
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -283,13 +283,15 @@
 
     def value(self, request: Request) -> float:
         """The worth of a slot's time given to this request; what is beyond its tenant's share counts less.
-        The share is judged among the tenants seen here: of total rates a sidecar knows nothing."""
+        The share is judged among the tenants seen here, unless the fleet's is told: of total rates a sidecar
+        knows nothing."""
         s, worth = self.settings, self.class_of(request).worth
         if not s.worth_by_work:
             worth /= self.mean_us[request.event.class_index]
         if request.event.tenant < len(s.tenants):
             allowed = s.tenants[request.event.tenant].allowance_per_s / self.allowed_per_s
             seen = self.tenant_seen[request.event.tenant] / sum(self.tenant_seen)
+            seen = request.event.tenant_share or seen
             worth *= s.over_share_worth + (1.0 - s.over_share_worth) * min(1.0, allowed / seen)
         return worth
 
--- /dev/null
+++ b/plovertrail/decisions/counts.py
@@ -0,0 +1,422 @@
+"""Usage by key summed over instances that talk, with no leader: a replicated counter over a sliding window.
+
+A state-based grow-only counter (Shapiro et al., "A comprehensive study of Convergent and Commutative
+Replicated Data Types", INRIA RR-7506, 2011) for each key and each bucket of time. Each instance writes its
+own part alone, under its name and an incarnation; parts are joined by the larger count of each bucket, so it
+makes no difference in which order they come, how often, or by which way. Times are monotonic and each
+instance's own: a part's are mapped to ours by the quickest of its datagrams. Pure: times are arguments, in
+microseconds.
+"""
+
+from __future__ import annotations
+
+import heapq
+from array import array
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+MOST_PARTS = 512  # instances and earlier incarnations of them, whose windows are not over
+MOST_INCARNATIONS = 8  # of one name, that are remembered
+OVERFLOW_KEYS = 64  # for keys that find no place: they count together, so a limit holds them more, never less
+PEER_KEYS_TIMES = 16  # all peers together may have so many times the keys that we may have
+DRIFT = 0.001  # by which another's clock may run faster or slower: far more than real ones do
+MOST_COUNT = 2 ** 32 - 1
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """The span that is counted over, in buckets. All instances must have the same."""
+
+    span_us: int
+    buckets: int
+
+    @property
+    def bucket_us(self) -> int:
+        return self.span_us // self.buckets
+
+    @property
+    def slots(self) -> int:
+        """Buckets that a window touches: one at each end is there in part."""
+        return self.buckets + 1
+
+
+class Row:
+    """One key's counts by bucket, of one instance: the newest bucket and the few before it."""
+
+    __slots__ = ("newest", "counts")
+
+    def __init__(self, slots: int, newest: int = 0) -> None:
+        self.newest = newest
+        self.counts = array("Q", [0] * slots)
+
+    def advance(self, bucket: int) -> None:
+        """Make room up to a bucket; what is older than all slots is forgotten."""
+        slots = len(self.counts)
+        for gone in range(max(self.newest, bucket - slots) + 1, bucket + 1):
+            self.counts[gone % slots] = 0
+        self.newest = max(self.newest, bucket)
+
+    def raise_to(self, bucket: int, count: int) -> int:
+        """Join one bucket: the larger count stays. Returns by how much it grew."""
+        if bucket <= self.newest - len(self.counts):
+            return 0
+        self.advance(bucket)
+        place = bucket % len(self.counts)
+        grown = max(0, min(count, MOST_COUNT) - self.counts[place])
+        self.counts[place] += grown
+        return grown
+
+    def add(self, bucket: int, count: int = 1) -> None:
+        self.advance(bucket)
+        place = bucket % len(self.counts)
+        self.counts[place] = min(MOST_COUNT, self.counts[place] + count)
+
+    def items(self) -> Iterator[tuple[int, int]]:
+        """The buckets that hold anything, the oldest first."""
+        slots = len(self.counts)
+        for bucket in range(self.newest - slots + 1, self.newest + 1):
+            if self.counts[bucket % slots]:
+                yield bucket, self.counts[bucket % slots]
+
+    def over(self, oldest: int) -> bool:
+        """Whether nothing is left that is newer than a bucket."""
+        return all(bucket <= oldest for bucket, _ in self.items())
+
+    def join(self, other: Row) -> None:
+        for bucket, count in other.items():
+            self.raise_to(bucket, count)
+        self.advance(other.newest)
+
+    def within(self, at: float, buckets: int) -> float:
+        """What was counted in the `buckets` before a place in time, itself in buckets; of the one that the
+        window's beginning cuts, the part that lies in it. Buckets after that place count as well."""
+        begins = at - buckets
+        cut = int(begins // 1)
+        whole = 0.0
+        for bucket, count in self.items():
+            if bucket > cut:
+                whole += count
+            elif bucket == cut:
+                whole += count * (cut + 1 - begins)
+        return whole
+
+
+@dataclass(slots=True)
+class Part:
+    """What one incarnation of one instance has counted, as far as it is known here."""
+
+    name: str
+    incarnation: int
+    offset_us: float  # our clock less its own: at most by its quickest datagram's delay too large
+    first_us: int  # our time when it was first heard
+    heard_us: int  # and last
+    sent_us: int  # its own time of the latest datagram
+    rows: dict[int, Row] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One instance's own part, or the keys of it that one datagram holds."""
+
+    name: str
+    incarnation: int
+    sequence: int  # of those to this receiver
+    sent_us: int  # since its start, by its own clock
+    rows: tuple[tuple[int, int, tuple[int, ...]], ...]  # key, newest bucket, counts of it and those before
+
+
+@dataclass(slots=True)
+class Heard:
+    """The datagrams of one incarnation, to tell repeats and losses."""
+
+    highest: int
+    seen: int = 1  # a bit for each of the 64 up to the highest
+    received: int = 1
+    first: int = 0
+
+    def fresh(self, sequence: int) -> bool:
+        """Whether a datagram is none that has come before."""
+        ahead = sequence - self.highest
+        if ahead > 0:
+            self.seen = ((self.seen << ahead) | 1) & (2 ** 64 - 1) if ahead < 64 else 1
+            self.highest = sequence
+        elif ahead <= -64 or self.seen >> -ahead & 1:
+            return False
+        else:
+            self.seen |= 1 << -ahead
+        self.received += 1
+        return True
+
+    @property
+    def lost(self) -> float:
+        """The share of those sent to us that never came."""
+        return max(0.0, 1.0 - self.received / (self.highest - self.first + 1))
+
+
+class Counts:
+    """All that one instance knows of the fleet's usage. `alone_share`: of a limit we take, while some are
+    silent, no more than what those that are heard have by number; else all of it."""
+
+    def __init__(self, name: str, incarnation: int, window: Window, now_us: int, *, most_keys: int = 4_096,
+                 silent_us: int = 2_000_000, alone_share: bool = True) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.window = window
+        self.start_us = now_us
+        self.most_keys = most_keys
+        self.silent_us = silent_us  # one that was not heard for so long is silent
+        self.alone_share = alone_share
+        self.size = 1  # instances, as listed
+        self.own: dict[int, Row] = {}
+        self.parts: dict[tuple[str, int], Part] = {}
+        self.peer_keys = 0
+        self.heard: dict[str, dict[int, Heard]] = {}
+        self.twins: dict[str, int] = {}  # names that two instances use at once, and when that was last seen
+        self.changed: dict[int, int] = {}  # of our keys, what was counted since it last went out
+        self.rested: dict[int, int] = {}  # and rounds since then
+        self.round = 0
+        self.swept_us = now_us
+        self.others: dict[int, tuple[int, float, float]] = {}  # key -> (until, as last heard, as it is now)
+        # since the start
+        self.without_place = 0  # counts of keys that share an entry
+        self.refused_keys = 0  # of peers, that found no room
+        self.repeats = 0
+        self.too_many = 0  # datagrams of instances or incarnations beyond the bound
+
+    # What is counted here
+
+    def add(self, key: int, now_us: int, count: int = 1) -> int:
+        """A request of a key has come; returns the key that it counts under."""
+        if key not in self.own and len(self.own) >= self.most_keys:
+            self.sweep(now_us)
+            if len(self.own) >= self.most_keys:
+                self.without_place += count
+                key %= OVERFLOW_KEYS
+        row = self.own.get(key)
+        if row is None:
+            row = self.own[key] = Row(self.window.slots)
+        row.add(self.bucket(now_us), count)
+        self.changed[key] = self.changed.get(key, 0) + count
+        return key
+
+    def bucket(self, now_us: int) -> int:
+        return max(0, now_us - self.start_us) // self.window.bucket_us
+
+    # What goes out
+
+    def urgent(self, most: int, fit: int) -> list[int]:
+        """The keys that go out next, at most so many, where about `fit` go at once: those with most change
+        first. Hazard: one that changes little must reach all too, and one that does not change any more
+        those who lost it; so after twice the rounds that all keys take in turn it goes before others."""
+        self.round += 1
+        overdue = 2 * -(-len(self.own) // max(1, fit))
+
+        def urgency(key: int) -> tuple[bool, int]:
+            return self.round - self.rested.get(key, -overdue) >= overdue, self.changed.get(key, 0)
+
+        return heapq.nlargest(most, self.own, key=urgency)
+
+    def went(self, keys: Iterable[int]) -> None:
+        """These have gone to all who were to hear of them in this round."""
+        for key in keys:
+            self.changed.pop(key, None)
+            self.rested[key] = self.round
+
+    def row_out(self, key: int, now_us: int) -> tuple[int, int, tuple[int, ...]] | None:
+        """A key's counts as they are sent: the newest bucket, and counts back to the oldest that holds
+        any."""
+        row = self.own.get(key)
+        if row is None:
+            return None
+        row.advance(self.bucket(now_us))
+        found = dict(row.items())
+        if not found:
+            return None
+        newest = max(found)
+        return key, newest, tuple(found.get(bucket, 0) for bucket in range(newest, min(found) - 1, -1))
+
+    # What comes in
+
+    def take(self, message: Message, now_us: int) -> bool:
+        """Join what another has sent; whether it was no repeat. Hazard: one that was
+        caught and is sent again would bring an earlier incarnation back, so what is remembered of a name is
+        kept longer than its parts; an older one that is not remembered is not taken once that is full."""
+        mine = message.name == self.name and message.incarnation == self.incarnation
+        known = self.heard.setdefault(message.name, {})
+        heard = known.get(message.incarnation)
+        if mine:
+            self.repeats += 1
+            return False
+        self.heard[message.name] = self.heard.pop(message.name)  # those heard last stand at the end
+        if heard is None:
+            if len(known) >= MOST_INCARNATIONS and message.incarnation < min(known):
+                self.too_many += 1
+                return False
+            if len(self.heard) > MOST_PARTS:
+                del self.heard[next(iter(self.heard))]
+            if len(known) >= MOST_INCARNATIONS:
+                del known[min(known)]
+            known[message.incarnation] = Heard(message.sequence, first=message.sequence)
+        elif not heard.fresh(message.sequence):
+            self.repeats += 1
+            return False
+        part = self._part(message, now_us)
+        if part is None:
+            self.too_many += 1
+            return False
+        for key, newest, counts in message.rows:
+            row = part.rows.get(key)
+            if row is None:
+                if self.peer_keys >= PEER_KEYS_TIMES * self.most_keys or len(part.rows) >= 2 * self.most_keys:
+                    self.refused_keys += 1
+                    continue
+                row = part.rows[key] = Row(self.window.slots)
+                self.peer_keys += 1
+            # hazard: a bucket from far ahead would push all true ones out
+            ahead = message.sent_us // self.window.bucket_us + 1
+            for age, count in enumerate(counts):
+                if 0 <= newest - age <= ahead:
+                    row.raise_to(newest - age, count)
+        return True
+
+    def _part(self, message: Message, now_us: int) -> Part | None:
+        ident = message.name, message.incarnation
+        part = self.parts.get(ident)
+        offset_us = float(now_us - message.sent_us)
+        if part is None:
+            if len(self.parts) >= MOST_PARTS:
+                self.sweep(now_us, at_once=True)
+                if len(self.parts) >= MOST_PARTS:
+                    return None
+            part = self.parts[ident] = Part(*ident, offset_us, now_us, now_us, message.sent_us)
+        # its quickest datagram tells best how its clock and ours lie; a slow drift is followed
+        drift_us = DRIFT * (now_us - part.heard_us)
+        part.offset_us = min(part.offset_us + drift_us, offset_us)
+        part.heard_us = now_us
+        part.sent_us = max(part.sent_us, message.sent_us)
+        self._look_for_twins(part, message, now_us)
+        return part
+
+    def _look_for_twins(self, part: Part, message: Message, now_us: int) -> None:
+        """Two live instances under one name: one says something that it sent after the other was first heard.
+        Both count, each under its own incarnation; only that is told. Hazard: what an earlier incarnation
+        had sent before its end may come late."""
+        sent_us = message.sent_us + part.offset_us - self.silent_us
+        other_us = [other.first_us for (name, incarnation), other in self.parts.items()
+                    if name == part.name and incarnation != part.incarnation
+                    and now_us - other.heard_us < self.silent_us]
+        if part.name == self.name:
+            other_us.append(self.start_us)
+        if any(sent_us > first_us for first_us in other_us):
+            self.twins[part.name] = now_us
+
+    # What it comes to
+
+    def estimate(self, key: int, now_us: int) -> float:
+        """The fleet's usage of a key over the window that ends now, as far as it is known here."""
+        return self.own_count(key, now_us) + self._others(key, now_us)[1]
+
+    def own_count(self, key: int, now_us: int) -> float:
+        row = self.own.get(key)
+        at = (now_us - self.start_us) / self.window.bucket_us
+        return row.within(at, self.window.buckets) if row else 0.0
+
+    def part_of(self, key: int, now_us: int) -> float:
+        """What this instance may have of a key's limit: its share of the usage, each peer's taken as it was
+        when last heard, lest all that is not known yet of the others counts as nobody's. Of the whole, silent
+        ones keep their part by number, unless each may have all of it then."""
+        own = max(1.0, self.own_count(key, now_us))
+        whole = own + self._others(key, now_us)[0]
+        if not self.alone_share:
+            return own / whole
+        return own / whole * min(1.0, (1 + self.count_heard(now_us)) / max(1, self.size))
+
+    def count_heard(self, now_us: int) -> int:
+        """Other instances that are not silent."""
+        return sum(now_us - part.heard_us < self.silent_us for part in self.parts.values())
+
+    def _others(self, key: int, now_us: int) -> tuple[float, float]:
+        """Of all peers: as last heard, and in the window that ends now. Kept for a while, as all of them are
+        gone through for it."""
+        found = self.others.get(key)
+        if found is not None and now_us < found[0]:
+            return found[1], found[2]
+        told = current = 0.0
+        bucket_us, buckets = self.window.bucket_us, self.window.buckets
+        for part in self.parts.values():
+            row = part.rows.get(key)
+            if row is not None:
+                current += row.within((now_us - part.offset_us) / bucket_us, buckets)
+                if now_us - part.heard_us < self.silent_us:
+                    told += row.within(part.sent_us / bucket_us, buckets)
+        if len(self.others) > 2 * self.most_keys:
+            self.others.clear()
+        self.others[key] = now_us + bucket_us // 16, told, current
+        return told, current
+
+    def sweep(self, now_us: int, at_once: bool = False) -> None:
+        """Forget what no window holds any more; at most once in a bucket's time, as it goes through all."""
+        if now_us - self.swept_us < self.window.bucket_us and not at_once:
+            return
+        self.swept_us = now_us
+        oldest = self.bucket(now_us) - self.window.slots
+        for key in [key for key, row in self.own.items() if row.over(oldest)]:
+            del self.own[key]
+            self.changed.pop(key, None)
+            self.rested.pop(key, None)
+        for ident, part in list(self.parts.items()):
+            if now_us - part.heard_us > self.window.span_us + self.window.bucket_us + self.silent_us:
+                del self.parts[ident]
+                self.peer_keys -= len(part.rows)
+                continue
+            oldest = int((now_us - part.offset_us) // self.window.bucket_us) - self.window.slots
+            for key in [key for key, row in part.rows.items() if row.over(oldest)]:
+                del part.rows[key]
+                self.peer_keys -= 1
+        self.others = {key: found for key, found in self.others.items() if now_us < found[0]}
+        self.twins = {name: at_us for name, at_us in self.twins.items()
+                      if now_us - at_us < self.window.span_us + self.silent_us}
+
+
+def key_of(*parts: str) -> int:
+    """The key that requests count under, the same at all instances."""
+    text = "".join(f"{len(part)} {part}" for part in parts)
+    return int.from_bytes(blake2b(text.encode("utf-8", "surrogateescape"), digest_size=8).digest())
+
+
+class TenantUse:
+    """Each tenant's share of all that the fleet is asked for, where its allowance is for all instances."""
+
+    def __init__(self, counts: Counts, names: Sequence[str], fleet_wide: frozenset[int]) -> None:
+        self.counts = counts
+        self.keys = [key_of("tenant", name) for name in names]
+        self.fleet_wide = fleet_wide
+        self.whole = 0.0
+        self.known_us = -1  # until when the sum holds
+
+    def came(self, tenant: int, now_us: int) -> None:
+        """A request of a listed tenant, by its number, has come."""
+        if tenant < len(self.keys):
+            self.counts.add(self.keys[tenant], now_us)
+
+    def share(self, tenant: int, now_us: int) -> float:
+        """Its share; 0 = nothing is known, or its allowance is for one instance."""
+        if tenant not in self.fleet_wide:
+            return 0.0
+        if now_us > self.known_us:
+            self.whole = sum(self.counts.estimate(key, now_us) for key in self.keys)
+            self.known_us = now_us + self.counts.window.bucket_us // 16
+        return min(1.0, self.counts.estimate(self.keys[tenant], now_us) / self.whole) if self.whole else 0.0
+
+
+def join_states(one: Mapping[tuple[str, int, int], Row], other: Mapping[tuple[str, int, int], Row],
+                copy: Callable[[Row], Row]) -> dict[tuple[str, int, int], Row]:
+    """The join of two whole states, by (name, incarnation, key)."""
+    joined = {ident: copy(row) for ident, row in one.items()}
+    for ident, row in other.items():
+        if ident in joined:
+            joined[ident].join(row)
+        else:
+            joined[ident] = copy(row)
+    return joined
--- /dev/null
+++ b/plovertrail/decisions/counts_bound.py
@@ -0,0 +1,100 @@
+"""How far a shared count may be from the truth, stated before anything is measured. Pure.
+
+Let a key be counted at `rate` requests a second over the whole fleet (the highest rate over any span as long
+as the staleness below), over a window W of buckets b. An instance sends its part to each other one every
+`round`; a copy is lost with probability p, independently, and else arrives within D.
+
+- **Undercount.** What a peer has counted since its last datagram that arrived is missing. That is as old as
+  at most (G + 1) rounds + D, with G the copies lost in a row: P(G >= k) = p^k. For peers with rates r_i, the
+  missing sum is at most sum r_i ((G_i + 1) round + D). Let M be the moment generating function of G; log M is
+  convex and 0 at 0, so sum log M(t r_i) <= log M(t sum r_i): by Chernoff's bound no split of the rate over
+  peers does worse than that of one peer with all of it, P(missing >= rate ((x + 1) round + D)) <= min over t
+  of exp(-t x) M(t), M(t) = (1 - p) / (1 - p exp(t)). Where no instance has more than a part a of a key's
+  rate, the worst split is over 1 / a peers, and the probability is that to the power of 1 / a.
+- **Overcount.** A peer's times are mapped by its quickest datagram, so they are taken for up to D later than
+  they are, and counts leave the window up to D too late: at most rate D.
+- **Either way** the bucket that the window's beginning cuts counts by the part that lies in it: off by what
+  it holds at most, rate b.
+- **In a partition** what the other side counts is missing altogether, after at most W: its rate times the
+  time since the split, at most W.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Talk:
+    """How instances talk, and what the network does to it. Times in seconds."""
+
+    size: int  # instances
+    period_s: float
+    fan_out: int
+    window_s: float
+    bucket_s: float
+    loss: float  # of datagrams, at most
+    delay_s: float  # of those that arrive, at most
+    keys: int = 32  # in use at once
+    keys_a_datagram: int = 32
+    most_part: float = 1.0  # of a key's rate that one instance has
+
+    @property
+    def round_s(self) -> float:
+        """Between two datagrams of one instance to another with the same key. Where not all keys fit into
+        one, half of the room is for those with most change, and a key has its turn in twice the rounds."""
+        turns = max(1, math.ceil((self.size - 1) / self.fan_out))
+        pages = math.ceil(self.keys / self.keys_a_datagram)
+        return turns * self.period_s * (2 * pages if pages > 1 else 1)
+
+
+@dataclass(frozen=True, slots=True)
+class Bound:
+    """In parts of rate times window; each holds at any one moment but with `probability`."""
+
+    under: float
+    over: float
+    staleness_s: float  # that it allows for
+    probability: float
+
+    def counts(self, rate_per_s: float, window_s: float) -> tuple[float, float]:
+        """The bounds below and above, in requests, at a fleet's rate of a key."""
+        return self.under * rate_per_s * window_s, self.over * rate_per_s * window_s
+
+
+def losses_in_a_row(loss: float, probability: float) -> float:
+    """x with min over t of exp(-t x) M(t) = probability, for geometric losses; found by halving."""
+    if loss <= 0.0:
+        return 0.0
+
+    def tail(x: float) -> float:
+        # the best t has p e^t = x / (1 + x); where that would be below t = 0 the bound is no use: 1
+        if x <= loss / (1.0 - loss):
+            return 1.0
+        t = math.log(x / (1.0 + x) / loss)
+        return math.exp(-t * x) * (1.0 - loss) * (1.0 + x)
+
+    low, high = 0.0, 1.0
+    while tail(high) > probability:
+        high *= 2.0
+    for _ in range(60):
+        middle = (low + high) / 2.0
+        low, high = (middle, high) if tail(middle) > probability else (low, middle)
+    return high
+
+
+def bound(talk: Talk, probability: float = 1e-3) -> Bound:
+    """What a count may be off by at any one moment, but with this probability."""
+    lost = losses_in_a_row(talk.loss, probability ** max(talk.most_part, 1.0 / talk.size))
+    staleness_s = (lost + 1.0) * talk.round_s + talk.delay_s if talk.size > 1 else 0.0
+    # a datagram can't be missing for longer than the window
+    under = min(staleness_s, talk.window_s) + talk.bucket_s
+    over = (talk.delay_s if talk.size > 1 else 0.0) + talk.bucket_s
+    return Bound(under / talk.window_s, over / talk.window_s, staleness_s, probability)
+
+
+def partition_under(split_s: float, far_part: float, talk: Talk) -> float:
+    """What a partition adds to the undercount, in parts of rate times window, `split_s` after it began; the
+    far side has `far_part` of the rate. Once healed, a round and its losses end it."""
+    return far_part * min(split_s, talk.window_s) / talk.window_s
--- a/plovertrail/decisions/interface.py
+++ b/plovertrail/decisions/interface.py
@@ -173,6 +173,7 @@
     attempts_left: int | None = None  # that this pool may make; None: as many as its settings say
     barred: Container[int] = frozenset()  # upstreams that take none of its kind now; may be a live view
     preferred: tuple[int, ...] = ()  # upstreams that its first attempt should go to if they have a free slot
+    tenant_share: float = 0.0  # of what the fleet is asked for, if that is known; 0 = as it is seen here
 
 
 @dataclass(slots=True)
--- a/plovertrail/decisions/limits.py
+++ b/plovertrail/decisions/limits.py
@@ -12,8 +12,12 @@
 import enum
 import math
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import islice
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from plovertrail.decisions.counts import Counts
 
 SHARED_ENTRIES = 64  # for the keys that find no place
 LOOKS = 4  # entries that are looked at for an idle one, when a new key comes to a full table
@@ -54,6 +58,7 @@
     most_keys: int = 4_096
     max_retry_after_us: int = 10_000_000
     told: bool = True  # a refusal names the limit
+    fleet_wide: bool = False  # the rate is for all instances together
 
 
 @dataclass(slots=True)
@@ -65,6 +70,7 @@
     promised_us: float = 0.0  # the latest time that one of its clients was told to come at
     # the shared entry that may have counted for it before; None once that has nothing of its requests
     before: Entry | None = None
+    gap_us: float = 0.0  # between two requests, as `free_us` has it; kept where it changes
 
     @property
     def counted(self) -> int:
@@ -114,6 +120,7 @@
         self.over_rate = 0
         self.over_at_once = 0
         self.without_place = 0  # requests of keys that shared an entry
+        self.counts: Counts | None = None  # of all instances, where the limit is for them together
         self.configure(settings)
 
     def configure(self, settings: LimiterSettings) -> None:
@@ -124,6 +131,28 @@
     def allowance_of(self, tenant: str) -> Allowance:
         return self.tenants.get(tenant, self.settings.allowance)
 
+    def part_of(self, whole: Allowance, entry: Entry, tenant: str, client: str) -> Allowance:
+        """What this instance may let in of a limit: all of it, or of one for all instances the part that its
+        usage is of theirs. Hazard: a burst that each may let in would be one for each; so that is shared out
+        by their number."""
+        if self.counts is None or not whole.rate_per_s:
+            return whole
+        key = self.counts.add(self.shared_key(tenant, client), self.now_us)
+        part = self.counts.part_of(key, self.now_us)
+        burst = max(1, round(whole.burst / max(1, self.counts.size)))
+        # hazard: what was let in counts in gaps as they were; with wider ones the burst would be there again
+        gap_us = 1e6 / (whole.rate_per_s * part)
+        if entry.gap_us and entry.free_us > self.now_us:
+            entry.free_us = self.now_us + (entry.free_us - self.now_us) * gap_us / entry.gap_us
+        entry.gap_us = gap_us
+        return Allowance(whole.rate_per_s * part, burst, whole.at_once)
+
+    def shared_key(self, tenant: str, client: str) -> int:
+        """A request's key as all instances have it."""
+        from plovertrail.decisions.counts import key_of
+
+        return key_of("limiter", self.settings.name, *self._names(tenant, client))
+
     def entry_of(self, tenant: str, client: str) -> Entry:
         """What is known of a request's key; a new one takes the place of one that is idle."""
         key = self._key(tenant, client)
@@ -191,6 +220,11 @@
     def _key(self, tenant: str, client: str) -> int:
         """A key's number. Hazard: by a sum that anyone can work out, a client could choose whose entry it
         fills."""
+        name = "\0".join(self._names(tenant, client)).encode("utf-8", "surrogateescape")
+        return int.from_bytes(self.hash(name, digest_size=8, key=self.salt).digest())
+
+    def _names(self, tenant: str, client: str) -> list[str]:
+        """What a request counts under."""
         kind = self.settings.keyed_by
         parts = []
         if kind in (KeyedBy.TENANT, KeyedBy.TENANT_AND_CLIENT):
@@ -198,8 +232,7 @@
             parts.append(f"{len(tenant)} {tenant}" if listed else "")
         if kind in (KeyedBy.CLIENT, KeyedBy.TENANT_AND_CLIENT):
             parts.append(client)
-        name = "\0".join(parts).encode("utf-8", "surrogateescape")
-        return int.from_bytes(self.hash(name, digest_size=8, key=self.salt).digest())
+        return parts
 
     def _idle(self, entry: Entry) -> bool:
         """Whether it says no more than a new one would."""
@@ -224,14 +257,16 @@
     worst: tuple[int, bool, Limiter, Entry, Allowance] | None = None
     for limiter in limiters:
         limiter._advance(now_us)
-        allowance, entry = limiter.allowance_of(tenant), limiter.entry_of(tenant, client)
+        entry = limiter.entry_of(tenant, client)
+        allowance = limiter.part_of(limiter.allowance_of(tenant), entry, tenant, client)
         wait_us, by_rate = limiter.wait_us(entry, allowance)
         asked.append((limiter, entry, allowance))
         if wait_us and (worst is None or wait_us > worst[0]):
             worst = wait_us, by_rate, limiter, entry, allowance
     if worst is not None:
         wait_us, by_rate, limiter, entry, allowance = worst
-        return limiter.refuse(entry, allowance, wait_us, by_rate)
+        over = limiter.refuse(entry, allowance, wait_us, by_rate)
+        return replace(over, allowance=limiter.allowance_of(tenant))  # the whole is what the limit is called
     return [limiter.take(entry, allowance) for limiter, entry, allowance in asked]
 
 
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:  # brought in where they are asked for: the platform's start has none of them
     from plovertrail.decisions.affinity import Affinity, Ring
+    from plovertrail.decisions.counts import TenantUse
     from plovertrail.decisions.fairness import Action, Door, DoorSettings
     from plovertrail.decisions.limits import Limiter, Permit
     from plovertrail.decisions.share import Subset
@@ -198,6 +199,7 @@
     def __init__(self) -> None:
         self.loop = asyncio.get_running_loop()
         self.subscribe: Callable[[bool], None] = lambda active: None
+        self.tenant_use: TenantUse | None = None  # where instances count together
         self.servers_changed: Callable[[ServerPool, api.UpstreamsUpdated], None] = lambda pool, event: None
         self.reissues = Reissues()  # one budget for all pools
         self.pools: list[ServerPool] = []
@@ -240,6 +242,8 @@
         self.requests[request.ident] = request
         # hazard: whatever becomes of the module's own timers, no client is left without an answer
         request.timer = self._at(due_us + BACKSTOP_US, self._overdue, request)
+        if self.tenant_use is not None:
+            self.tenant_use.came(call.tenant, clock_us())
         if limiters:
             from plovertrail.decisions.limits import OverLimit, admit
 
@@ -422,12 +426,16 @@
                                           call.key, call.cost_us, call.retried,
                                           earlier_attempts=standing.attempts,
                                           attempts_left=attempts_left(standing, serving, number, most),
-                                          barred=barred, preferred=pool.preferred(call))
+                                          barred=barred, preferred=pool.preferred(call),
+                                          tenant_share=self._tenant_share(call))
         if pool.door is None:
             self._let_through(pool, request.ident)
         else:
             self._to_door(pool, pool.door, request)
 
+    def _tenant_share(self, call: Call) -> float:
+        return self.tenant_use.share(call.tenant, clock_us()) if self.tenant_use is not None else 0.0
+
     # Doors
 
     def _to_door(self, pool: ServerPool, door: Door, request: Request) -> None:
--- /dev/null
+++ b/plovertrail/peers/gossip.py
@@ -0,0 +1,149 @@
+"""What one instance says to the others and takes from them, with no socket and no clock."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from plovertrail.decisions.counts import Counts
+from plovertrail.decisions.counts_bound import Bound, Talk, bound
+from plovertrail.peers.wire import BadDatagramError, Codec, Dropped, row_bytes, short
+
+Address = tuple[str, int]
+MOST_A_PERIOD = 8  # datagrams of one peer that are looked at; it sends one at most by itself
+MOST_ROWS_OUT = 120  # more never fit
+
+
+def told(address: Address) -> str:
+    return "{}:{}".format(*address)
+
+
+@dataclass(slots=True)
+class Peer:
+    """One listed address."""
+
+    address: Address
+    to: bytes
+    sequence: int = 0  # of what was sent to it
+    name: str = ""  # as last heard from there
+    incarnation: int = 0
+    heard_us: int = 0  # 0 = never
+    period: int = -1  # the one in which these were looked at:
+    looked_at: int = 0
+
+
+@dataclass(slots=True)
+class Sent:
+    """What this instance has sent and got since its start."""
+
+    datagrams: int = 0
+    octets: int = 0
+    taken: int = 0
+    dropped: Counter[Dropped] = field(default_factory=Counter)
+
+
+class Gossip:
+    """Each period it sends its own part to the next `fan_out` peers, in a fixed order drawn once, so that
+    each of them hears of it once a round. Weighed in docs/shared-counts.md."""
+
+    def __init__(self, counts: Counts, codec: Codec, me: Address, rng: random.Random) -> None:
+        self.counts = counts
+        self.codec = codec
+        self.me = short(told(me))
+        self.address = me
+        self.rng = rng
+        self.peers: dict[Address, Peer] = {}
+        self.order: list[Peer] = []
+        self.place = 0  # in that order
+        self.fan_out = 1
+        self.period = 0
+        self.keys: list[int] = []  # that go out in this round
+        self.rows_fit = 0  # of them, in the datagrams of this round so far
+        self.sent = Sent()
+
+    def listed(self, addresses: Sequence[Address], fan_out: int) -> None:
+        """The peers are these now; our own address among them is passed over."""
+        others = [address for address in dict.fromkeys(addresses) if address != self.address]
+        self.peers = {each: self.peers.get(each) or Peer(each, short(told(each))) for each in others}
+        self.order = [self.peers[each] for each in others]
+        self.rng.shuffle(self.order)
+        self.place = 0
+        self.fan_out = fan_out
+        self.counts.size = len(others) + 1
+
+    def tick(self, now_us: int) -> list[tuple[Address, bytes]]:
+        """A period has passed: what goes out now."""
+        self.period += 1
+        self.counts.sweep(now_us)
+        if not self.order:
+            return []
+        if self.place == 0:
+            self.keys = self.counts.urgent(MOST_ROWS_OUT, self.rows_fit or MOST_ROWS_OUT)
+            self.rows_fit = len(self.keys)
+        rows: list[bytes] = []  # an empty one where a key has nothing to tell any more
+        left = self.codec.room(self.counts.name)
+        for key in self.keys[:self.rows_fit]:
+            found = self.counts.row_out(key, now_us)
+            packed = row_bytes(found) if found is not None else b""
+            if len(packed) > left:
+                break
+            left -= len(packed)
+            rows.append(packed)
+        # what grows out of the datagram in mid-round has not gone to all, and comes first in the next
+        self.rows_fit = len(rows)
+        out = []
+        for peer in self.order[self.place:self.place + self.fan_out]:
+            peer.sequence += 1
+            data = self.codec.write(peer.to, self.counts.name, self.counts.incarnation, peer.sequence,
+                                    max(0, now_us - self.counts.start_us), filter(None, rows))
+            out.append((peer.address, data))
+            self.sent.datagrams += 1
+            self.sent.octets += len(data)
+        self.place += self.fan_out
+        if self.place >= len(self.order):
+            self.place = 0
+            self.counts.went(self.keys[:self.rows_fit])
+        return out
+
+    def received(self, data: bytes, address: Address, now_us: int) -> Dropped | None:
+        """A datagram has come; why it was not taken, if it was not."""
+        why = self._received(data, address, now_us)
+        if why is None:
+            self.sent.taken += 1
+        else:
+            self.sent.dropped[why] += 1
+        return why
+
+    def _received(self, data: bytes, address: Address, now_us: int) -> Dropped | None:
+        peer = self.peers.get(address)
+        if peer is None:
+            return Dropped.STRANGER
+        # hazard: one that floods would have us check codes all day
+        if peer.period != self.period:
+            peer.period, peer.looked_at = self.period, 0
+        peer.looked_at += 1
+        if peer.looked_at > MOST_A_PERIOD:
+            return Dropped.FLOOD
+        try:
+            message = self.codec.read(data, self.me)
+        except BadDatagramError as error:
+            return error.why
+        if not self.counts.take(message, now_us):
+            return Dropped.REPEATED
+        peer.name, peer.incarnation, peer.heard_us = message.name, message.incarnation, now_us
+        return None
+
+    def loss_from(self, peer: Peer) -> float:
+        """The share of a peer's datagrams that never came."""
+        heard = self.counts.heard.get(peer.name, {}).get(peer.incarnation)
+        return heard.lost if heard is not None else 0.0
+
+    def bound(self, talk: Talk) -> Bound:
+        """The bound as it is now: with the losses seen, if they are worse than those stated."""
+        seen = max((self.loss_from(peer) for peer in self.peers.values() if peer.heard_us), default=0.0)
+        return bound(Talk(self.counts.size, talk.period_s, talk.fan_out, talk.window_s, talk.bucket_s,
+                          min(0.95, max(talk.loss, seen)), talk.delay_s,
+                          max(len(self.counts.own), 1), max(1, self.rows_fit or talk.keys_a_datagram),
+                          talk.most_part))
--- /dev/null
+++ b/plovertrail/peers/talk.py
@@ -0,0 +1,200 @@
+"""The datagrams of shared counts on a socket: one of UDP, read and written without waiting."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import logging
+import random
+import socket
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from plovertrail.clock import clock_us
+from plovertrail.config.peers import PeersSetup
+from plovertrail.decisions.counts import Counts
+from plovertrail.decisions.membership import Candidate
+from plovertrail.peers.gossip import Address, Gossip, told
+from plovertrail.peers.wire import LARGEST, Codec, Dropped
+from plovertrail.sources.files import FileSource, FileWatch
+
+log = logging.getLogger(__name__)
+
+READ_AT_ONCE = 64  # datagrams in one turn of the loop; the others wait in the socket's buffer
+LOG_GAP_S = 10.0  # between two lines of one kind
+TOO_MANY_TOLD = 200
+
+
+class BoundedLog:
+    """At most one line of a kind in a while, which tells how often it happened since the last one."""
+
+    def __init__(self) -> None:
+        self.next: dict[object, float] = {}
+        self.unsaid: dict[object, int] = {}
+
+    def tell(self, kind: object, text: str) -> None:
+        """`kind` is one of few."""
+        now = time.monotonic()
+        self.unsaid[kind] = self.unsaid.get(kind, 0) + 1
+        if now >= self.next.get(kind, 0.0):
+            self.next[kind] = now + LOG_GAP_S
+            log.warning("peers: %s (%d times)", text, self.unsaid.pop(kind))
+
+
+def bind(address: Address) -> socket.socket:
+    """A socket for datagrams there; raises OSError."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        sock.setblocking(False)
+        sock.bind(address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def new_counts(setup: PeersSetup) -> Counts:
+    """Counts that begin now. The incarnation is the wall clock's time, so that it grows from start to start;
+    where that clock has stepped back it is another one all the same, and nothing else goes by it."""
+    return Counts(setup.name, time.time_ns() // 1_000, setup.window, clock_us(), most_keys=setup.most_keys,
+                  alone_share=setup.alone_share)
+
+
+class PeerTalk:
+    """This instance among its peers, from its start to its stop."""
+
+    def __init__(self, setup: PeersSetup, sock: socket.socket, seed: int) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.setup = setup
+        self.sock = sock
+        self.counts = new_counts(setup)
+        codec = Codec(setup.fleet, setup.keys, setup.window)
+        self.gossip = Gossip(self.counts, codec, setup.address, random.Random(seed))
+        self.lines = BoundedLog()
+        self.listed: tuple[Address, ...] = ()  # by the file
+        self.problem = ""
+        self.unsent = 0
+        self.watch: FileWatch | None = None
+        self.twins: set[str] = set()
+        self._list()
+        self._follow_list()
+        self.loop.add_reader(sock, self._readable)
+        self.next = self.loop.time()
+        self.timer = self.loop.call_soon(self._tick)
+
+    def fits(self, setup: PeersSetup) -> bool:
+        """Whether it can go on under another setup, with what has been counted."""
+        mine = self.setup
+        return (mine.name, mine.address, mine.window) == (setup.name, setup.address, setup.window)
+
+    def configure(self, setup: PeersSetup) -> None:
+        """Go on with other peers, keys or times; what has been counted stays. Hazard: a key that is changed
+        in one step would cut the fleet in two till all have it; so the old one stays listed meanwhile."""
+        before, self.setup = self.setup, setup
+        self.gossip.codec = Codec(setup.fleet, setup.keys, setup.window)
+        self.counts.most_keys, self.counts.alone_share = setup.most_keys, setup.alone_share
+        if setup.list_path != before.list_path:
+            self.listed, self.problem = (), ""
+            self._follow_list()
+        self._list()
+
+    def stop(self) -> None:
+        self.loop.remove_reader(self.sock)
+        self.timer.cancel()
+        if self.watch is not None:
+            self.watch.stop()
+        self.sock.close()
+
+    # Who they are
+
+    def _follow_list(self) -> None:
+        if self.watch is not None:
+            self.watch.stop()
+            self.watch = None
+        if self.setup.list_path:
+            source = FileSource(self.setup.list_path, False)
+            self.watch = FileWatch(source, self._peers_listed, self._peers_unread)
+
+    async def _peers_listed(self, candidate: Candidate) -> None:
+        """Hazard: taken as it is, an empty list would make this instance the only one, with all of a
+        limit."""
+        if not candidate.entries:
+            await self._peers_unread(candidate.source, "it lists no instance")
+            return
+        self.problem = ""
+        self.listed = tuple(entry.address for entry in candidate.entries)
+        if len(self.listed) > TOO_MANY_TOLD:
+            self.listed = self.listed[:TOO_MANY_TOLD]
+            self.lines.tell("many", f"{candidate.source} lists {len(candidate.entries)}; "
+                            f"the first {TOO_MANY_TOLD} are talked to")
+        self._list()
+
+    async def _peers_unread(self, source: str, why: str) -> None:
+        if why != self.problem:
+            log.error("the list of peers, %s, can't be used: %s; the last one stays", source, why)
+        self.problem = why
+
+    def _list(self) -> None:
+        addresses: Sequence[Address] = (*self.setup.addresses, *self.listed)
+        self.gossip.listed(addresses, self.setup.fan_out)
+        self.counts.silent_us = self.setup.silent_us(self.counts.size)
+
+    # What goes out and comes in
+
+    def _tick(self) -> None:
+        now = self.loop.time()
+        # hazard: late turns must not be made up for, or a loop that was held up sends a wall of datagrams
+        self.next = max(self.next + self.setup.period_us / 1e6, now + self.setup.period_us / 2e6)
+        self.timer = self.loop.call_at(self.next, self._tick)
+        for address, data in self.gossip.tick(clock_us()):
+            try:
+                self.sock.sendto(data, address)
+            except OSError as error:
+                # a lost datagram among others; what it said goes out again
+                self.unsent += 1
+                self.lines.tell("unsent", f"nothing can be sent to {told(address)}: {error.strerror}")
+        for name in self.counts.twins.keys() - self.twins:
+            who = "this instance and another" if name == self.counts.name else "two instances"
+            log.error("peers: %s are called %r: both count, but give each a name of its own", who, name)
+        self.twins = set(self.counts.twins)
+
+    def _readable(self) -> None:
+        now_us = clock_us()
+        for _ in range(READ_AT_ONCE):
+            try:
+                data, address = self.sock.recvfrom(LARGEST + 1)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                if error.errno != errno.ECONNREFUSED:  # of an earlier one that nobody took
+                    self.lines.tell("unread", f"datagrams can't be read: {error.strerror}")
+                return
+            why = self.gossip.received(data, address, now_us)
+            if why is not None and why is not Dropped.REPEATED:
+                self.lines.tell(why, f"a datagram from {told(address)} is dropped: {why.value}")
+
+    # For operators
+
+    def status(self, names: dict[int, str]) -> dict[str, Any]:
+        """What is heard and counted; `names` of keys that are worth telling."""
+        now_us, counts, gossip = clock_us(), self.counts, self.gossip
+        found = gossip.bound(self.setup.talk(counts.size))
+        return {
+            "name": counts.name, "incarnation": counts.incarnation, "problem": self.problem,
+            "size": counts.size, "heard": counts.count_heard(now_us),
+            "bound": {"under": round(found.under, 4), "over": round(found.over, 4),
+                      "staleness_s": round(found.staleness_s, 3), "but_with": found.probability},
+            "twins": sorted(counts.twins),
+            "peers": {told(peer.address): {
+                "name": peer.name, "loss": round(gossip.loss_from(peer), 3),
+                "heard_s_ago": round((now_us - peer.heard_us) / 1e6, 3) if peer.heard_us else None,
+            } for peer in gossip.order},
+            "counts": {name: {"own": round(counts.own_count(key, now_us), 1),
+                              "fleet": round(counts.estimate(key, now_us), 1)} for key, name in
+            names.items()},
+            "sent": gossip.sent.datagrams, "sent_bytes": gossip.sent.octets, "taken": gossip.sent.taken,
+            "unsent": self.unsent, "dropped": {why.value: n for why, n in gossip.sent.dropped.items()},
+            "keys": len(counts.own), "keys_of_peers": counts.peer_keys,
+            "without_place": counts.without_place, "refused_keys": counts.refused_keys,
+        }
--- /dev/null
+++ b/standins/peers_model.py
@@ -0,0 +1,118 @@
+"""Instances that count together over a network of this file's own, on a virtual clock: loss, delay, repeats,
+partitions and restarts, all drawn from a seed; and the true counts beside them."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from bisect import bisect_right
+from collections import Counter
+from collections.abc import Callable
+
+from plovertrail.decisions.counts import Counts, Window
+from plovertrail.decisions.counts_bound import Talk
+from plovertrail.peers.gossip import Address, Gossip
+from plovertrail.peers.wire import Codec
+
+SECOND_US = 1_000_000
+KEY = b"a key that all instances share"
+Deliver = Callable[[int, int], bool]  # whether what one sends comes to another at all
+
+
+class PeersModel:
+    """`size` instances, numbered from 0; their clocks began at times of their own."""
+
+    def __init__(self, talk: Talk, *, seed: int = 1, repeats: float = 0.0, alone_share: bool = True) -> None:
+        self.talk = talk
+        self.rng = random.Random(seed)
+        self.window = Window(round(talk.window_s * 1e6), round(talk.window_s / talk.bucket_s))
+        self.repeats = repeats
+        self.alone_share = alone_share
+        self.now_us = 0
+        self.due: list[tuple[int, int, Callable[..., None], tuple[object, ...]]] = []
+        self.order = 0
+        self.delivers: Deliver = lambda sender, receiver: True
+        self.addresses: list[Address] = [(f"10.1.{n >> 8}.{n & 255}", 7400) for n in range(talk.size)]
+        self.numbers = {address: number for number, address in enumerate(self.addresses)}
+        self.skews_us = [self.rng.randrange(1, 10 ** 12) for _ in range(talk.size)]
+        self.gossips: list[Gossip] = []
+        self.alive = [True] * talk.size
+        self.truth: dict[int, list[int]] = {}  # by key, when each request came
+        self.incarnations = 0
+        self.octets: Counter[int] = Counter()
+        for number in range(talk.size):
+            self.gossips.append(self.start(number))
+            self.at(int(self.rng.random() * talk.period_s * 1e6), self.tick, number)
+
+    def local_us(self, number: int) -> int:
+        """An instance's own clock: monotonic, and far from all others."""
+        return self.now_us + self.skews_us[number]
+
+    def start(self, number: int, name: str = "") -> Gossip:
+        """An instance that knows nothing yet, under its old name."""
+        self.incarnations += 1
+        silent_us = int(8 * self.talk.round_s * 1e6 + self.talk.delay_s * 1e6)
+        counts = Counts(name or f"i{number}", self.incarnations, self.window, self.local_us(number),
+                        silent_us=silent_us, alone_share=self.alone_share)
+        gossip = Gossip(counts, Codec("model", [KEY], self.window), self.addresses[number],
+                        random.Random(self.rng.random()))
+        gossip.listed(self.addresses, self.talk.fan_out)
+        return gossip
+
+    def restart(self, number: int) -> None:
+        """It forgets all, and its clock begins elsewhere; what it sent is still on its way."""
+        self.skews_us[number] = self.rng.randrange(1, 10 ** 12)
+        self.gossips[number] = self.start(number)
+
+    def at(self, at_us: int, what: Callable[..., None], *arguments: object) -> None:
+        self.order += 1
+        heapq.heappush(self.due, (at_us, self.order, what, arguments))
+
+    def tick(self, number: int) -> None:
+        self.at(self.now_us + int(self.talk.period_s * 1e6), self.tick, number)
+        if not self.alive[number]:
+            return
+        for address, data in self.gossips[number].tick(self.local_us(number)):
+            to = self.numbers[address]
+            self.octets[number] += len(data)
+            copies = 1 + (self.rng.random() < self.repeats)
+            for _ in range(copies):
+                if self.delivers(number, to) and self.rng.random() >= self.talk.loss:
+                    delay_us = int(self.rng.random() * self.talk.delay_s * 1e6)
+                    self.at(self.now_us + delay_us, self.deliver, to, data, self.addresses[number])
+
+    def deliver(self, to: int, data: bytes, sender: Address) -> None:
+        if self.alive[to]:
+            self.gossips[to].received(data, sender, self.local_us(to))
+
+    def run(self, until_us: int) -> None:
+        while self.due and self.due[0][0] <= until_us:
+            self.now_us, _, what, arguments = heapq.heappop(self.due)
+            what(*arguments)
+        self.now_us = until_us
+
+    def count(self, number: int, key: int) -> None:
+        """A request comes to an instance now."""
+        self.gossips[number].counts.add(key, self.local_us(number))
+        self.truth.setdefault(key, []).append(self.now_us)
+
+    def true_count(self, key: int) -> int:
+        times = self.truth.get(key, [])
+        return len(times) - bisect_right(times, self.now_us - self.window.span_us)
+
+    def estimate(self, number: int, key: int) -> float:
+        return self.gossips[number].counts.estimate(key, self.local_us(number))
+
+    def load(self, seconds: float, rates: dict[int, float], to: Callable[[], int] | None = None) -> None:
+        """Requests of keys at these rates a second, over all instances at random or where `to` says."""
+        end_us = self.now_us + int(seconds * SECOND_US)
+        whole = sum(rates.values())
+        keys, weights = list(rates), list(rates.values())
+        while True:
+            at_us = self.now_us + int(self.rng.expovariate(whole / SECOND_US)) if whole else end_us
+            if at_us >= end_us:
+                break
+            self.run(at_us)
+            number = to() if to is not None else self.rng.randrange(self.talk.size)
+            self.count(number, self.rng.choices(keys, weights)[0])
+        self.run(end_us)
--- a/tests/cli/test_top.py
+++ b/tests/cli/test_top.py
@@ -13,7 +13,7 @@
 from click.testing import CliRunner
 
 from plovertrail.cli import main
-from plovertrail.cli.top import rows
+from plovertrail.cli.top import rows, shared_rows
 
 
 def tenant(admitted: int, work_s: float, waiting: int = 0, refused: int = 0) -> dict[str, Any]:
@@ -72,3 +72,11 @@
     assert result.exit_code == 0 and "write fair = {}" in result.output
     result = CliRunner().invoke(main, ["top", "--socket", str(tmp_path / "nothing")])
     assert result.exit_code == 1 and "no daemon answers" in result.output
+
+
+def test_what_is_counted_over_the_fleet_stands_below(tmp_path: Path) -> None:
+    peers = {"heard": 2, "size": 4, "bound": {"under": 0.2, "over": 0.05},
+             "counts": {"tenant a": {"own": 1.0, "fleet": 9.4}, "tenant b": {"own": 8.0, "fleet": 20.0},
+                        "tenant c": {"own": 0.0, "fleet": 0.0}}}
+    assert shared_rows(peers) == [["tenant b", "8", "20"], ["tenant a", "1", "9"]]
+    assert shared_rows({}) == []
--- /dev/null
+++ b/tests/decisions/test_counts.py
@@ -0,0 +1,268 @@
+"""Counts of many instances: the three laws of their join, the window against a plain reference, bounds."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from plovertrail.decisions.counts import (
+    MOST_INCARNATIONS,
+    MOST_PARTS,
+    OVERFLOW_KEYS,
+    Counts,
+    Heard,
+    Message,
+    Row,
+    TenantUse,
+    Window,
+    join_states,
+    key_of,
+)
+
+SECOND = 1_000_000
+WINDOW = Window(4 * SECOND, 8)
+State = dict[tuple[str, int, int], Row]
+
+buckets = st.dictionaries(st.integers(0, 30), st.integers(0, 1_000), max_size=12)
+states = st.dictionaries(st.tuples(st.sampled_from("ab"), st.integers(1, 2), st.integers(1, 3)), buckets,
+                         max_size=8)
+
+
+def row_of(counts: dict[int, int]) -> Row:
+    row = Row(WINDOW.slots)
+    for bucket, count in counts.items():
+        row.raise_to(bucket, count)
+    return row
+
+
+def copy(row: Row) -> Row:
+    made = Row(WINDOW.slots)
+    made.join(row)
+    return made
+
+
+def state_of(raw: dict[tuple[str, int, int], dict[int, int]]) -> State:
+    return {ident: row_of(counts) for ident, counts in raw.items()}
+
+
+def plain(state: State) -> dict[tuple[str, int, int], tuple[int, list[tuple[int, int]]]]:
+    return {ident: (row.newest, list(row.items())) for ident, row in state.items()}
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(states, states, states)
+def test_the_join_is_commutative_associative_and_idempotent(
+    one: dict[tuple[str, int, int], dict[int, int]], other: dict[tuple[str, int, int], dict[int, int]],
+    third: dict[tuple[str, int, int], dict[int, int]]
+) -> None:
+    a, b, c = state_of(one), state_of(other), state_of(third)
+    assert plain(join_states(a, b, copy)) == plain(join_states(b, a, copy))
+    left = join_states(join_states(a, b, copy), c, copy)
+    assert plain(left) == plain(join_states(a, join_states(b, c, copy), copy))
+    assert plain(join_states(a, a, copy)) == plain(a) == plain(join_states(a, {}, copy))
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.lists(st.integers(0, 12 * SECOND), min_size=1, max_size=60), st.integers(0, 4 * SECOND))
+def test_the_window_is_off_by_no_more_than_the_bucket_that_its_beginning_cuts(
+    times: list[int], later_us: int
+) -> None:
+    counts = Counts("a", 1, WINDOW, 0)
+    for at_us in sorted(times):
+        counts.add(7, at_us)
+    now_us = max(times) + later_us
+    begins_us = now_us - WINDOW.span_us
+    true = sum(at_us > begins_us for at_us in times)
+    cut = begins_us // WINDOW.bucket_us
+    in_cut = sum(at_us // WINDOW.bucket_us == cut for at_us in times)
+    assert abs(counts.estimate(7, now_us) - true) <= in_cut
+
+
+def message(counts: Counts, sequence: int, now_us: int, *keys: int) -> Message:
+    rows = tuple(row for key in keys if (row := counts.row_out(key, now_us)) is not None)
+    return Message(counts.name, counts.incarnation, sequence, now_us - counts.start_us, rows)
+
+
+def pair() -> tuple[Counts, Counts]:
+    return Counts("a", 1, WINDOW, 5 * SECOND), Counts("b", 1, WINDOW, 900 * SECOND)
+
+
+def test_what_one_has_counted_is_known_to_the_other_whatever_their_clocks_say() -> None:
+    a, b = pair()
+    for _ in range(30):
+        a.add(7, 6 * SECOND)
+    assert b.take(message(a, 1, 6 * SECOND, 7), 1_000 * SECOND)
+    assert b.estimate(7, 1_000 * SECOND) == 30
+    assert b.estimate(7, 1_003 * SECOND) == 30
+    assert b.estimate(7, 1_005 * SECOND) == 0  # the window has passed there as well
+
+
+def test_repeats_reorder_and_late_ones_change_nothing() -> None:
+    a, b = pair()
+    sent = []
+    for number in range(1, 21):
+        a.add(7, 5 * SECOND + number * 100_000)
+        sent.append(message(a, number, 5 * SECOND + number * 100_000, 7))
+    order = sent * 3
+    random.Random(5).shuffle(order)
+    taken = sum(b.take(each, 1_000 * SECOND) for each in order)
+    assert taken == 20 and b.repeats == 40
+    assert b.estimate(7, 1_000 * SECOND) == 20
+
+
+def test_one_that_restarts_is_counted_under_both_incarnations_till_the_window_has_passed() -> None:
+    a, b = pair()
+    for _ in range(10):
+        a.add(7, 6 * SECOND)
+    old = message(a, 1, 6 * SECOND, 7)
+    late = message(a, 2, 6 * SECOND, 7)
+    assert b.take(old, 1_000 * SECOND)
+    again = Counts("a", 2, WINDOW, 7 * SECOND)
+    again.add(7, 8 * SECOND, 5)
+    assert b.take(message(again, 1, 8 * SECOND, 7), 1_001 * SECOND)
+    assert b.take(late, 1_001 * SECOND)  # was still on its way: it counts for the old one, once
+    assert b.estimate(7, 1_001 * SECOND) == 15
+    assert not b.twins
+    assert not b.take(old, 1_002 * SECOND)
+    b.sweep(1_020 * SECOND)
+    assert not b.parts and b.peer_keys == 0
+    assert not b.take(late, 1_020 * SECOND)  # one that is caught and sent again brings nothing back
+    assert b.estimate(7, 1_020 * SECOND) == 0
+
+
+def test_two_instances_under_one_name_both_count_and_are_told() -> None:
+    one, other, third = Counts("a", 1, WINDOW, 0), Counts("a", 2, WINDOW, 0), Counts("c", 1, WINDOW, 0)
+    for number in range(1, 60):
+        now_us = number * 100_000
+        one.add(7, now_us)
+        other.add(7, now_us)
+        for each in (one, other):
+            each.take(message(other if each is one else one, number, now_us, 7), now_us)
+            third.take(message(each, number, now_us, 7), now_us)
+    now_us = 59 * 100_000
+    assert third.estimate(7, now_us) == pytest.approx(2 * one.own_count(7, now_us))
+    assert one.estimate(7, now_us) == pytest.approx(third.estimate(7, now_us))
+    assert set(third.twins) == set(one.twins) == {"a"}
+
+
+def test_a_replay_of_what_is_no_longer_remembered_is_not_taken() -> None:
+    counts = Counts("b", 1, WINDOW, 0)
+    for incarnation in range(100, 100 + MOST_INCARNATIONS):
+        assert counts.take(Message("a", incarnation, 1, 0, ()), 1_000)
+    assert not counts.take(Message("a", 99, 1, 0, ((7, 0, (50,)),)), 2_000)
+    assert counts.too_many == 1 and counts.estimate(7, 2_000) == 0
+    assert counts.take(Message("a", 200, 1, 0, ()), 3_000)
+
+
+def test_names_keys_and_parts_are_bounded_whatever_comes() -> None:
+    counts = Counts("me", 1, WINDOW, 0, most_keys=100)
+    for number in range(1_000):  # names made up on every request
+        counts.add(key_of(f"made up {number}"), 1_000)
+    assert len(counts.own) <= 100 + OVERFLOW_KEYS and counts.without_place > 800
+    assert sum(counts.own_count(key, 1_000) for key in counts.own) == 1_000  # none is lost
+    rows = tuple((key, 0, (1,)) for key in range(5_000))
+    for number in range(20):  # peers that claim keys without end
+        counts.take(Message(f"p{number}", 1, 1, 0, rows), 1_000)
+    assert counts.peer_keys <= 16 * 100 + 1 and counts.refused_keys > 90_000
+    assert max(len(part.rows) for part in counts.parts.values()) <= 200
+    for number in range(2 * MOST_PARTS):
+        counts.take(Message(f"q{number}", 1, 1, 0, ()), 1_000)
+    assert len(counts.parts) <= MOST_PARTS and len(counts.heard) <= MOST_PARTS + 1
+
+
+def test_a_bucket_from_far_ahead_pushes_no_true_one_out() -> None:
+    counts = Counts("b", 1, WINDOW, 0)
+    counts.take(Message("a", 1, 1, SECOND, ((7, 2, (5, 5)),)), SECOND)
+    counts.take(Message("a", 1, 2, SECOND, ((7, 10 ** 9, (5,)),)), SECOND)
+    assert counts.estimate(7, SECOND) == 10
+
+
+def test_the_quickest_datagram_tells_how_clocks_lie_and_drift_is_followed() -> None:
+    a, b = pair()
+    for number, delay_us in enumerate((180_000, 20_000, 150_000), start=1):
+        at_us = 6 * SECOND + number * 100_000
+        b.take(message(a, number, at_us), 995 * SECOND + at_us + delay_us)
+    (part,) = b.parts.values()
+    assert 1_000 * SECOND + 20_000 <= part.offset_us <= 1_000 * SECOND + 20_300
+    for number in range(4, 400):  # its clock runs slower by 500 in a million
+        at_us = 6 * SECOND + number * 100_000
+        b.take(message(a, number, at_us), 995 * SECOND + at_us + 20_000 + int(at_us * 5e-4))
+    assert abs(part.offset_us - (1_000 * SECOND + 20_000 + int(at_us * 5e-4))) < 1_000
+
+
+def test_the_part_of_a_limit_follows_the_usage_and_adds_up_to_one() -> None:
+    fleet = [Counts(name, 1, WINDOW, 0) for name in "abc"]
+    for each in fleet:
+        each.size = 3
+    for number in range(1, 81):
+        now_us = number * 50_000
+        for each, load in zip(fleet, (6, 3, 1), strict=True):
+            each.add(7, now_us, load)
+        for each in fleet:
+            for other in fleet:
+                if other is not each:
+                    each.take(message(other, number, now_us, 7), now_us)
+    parts = [each.part_of(7, now_us) for each in fleet]
+    assert parts == [pytest.approx(0.6, abs=0.01), pytest.approx(0.3, abs=0.01), pytest.approx(0.1, abs=0.01)]
+
+
+@pytest.mark.parametrize(("alone_share", "expected"), [(True, 0.25), (False, 1.0)])
+def test_where_all_others_are_silent_the_choice_holds(alone_share: bool, expected: float) -> None:
+    counts = Counts("a", 1, WINDOW, 0, alone_share=alone_share, silent_us=SECOND)
+    counts.size = 4
+    counts.add(7, 0)
+    assert counts.part_of(7, 0) == expected  # none was ever heard
+    for name in "bcd":
+        counts.take(Message(name, 1, 1, 100_000, ()), 100_000)
+    assert counts.part_of(7, 200_000) == 1.0  # all are heard, and have no usage
+    counts.others.clear()
+    assert counts.part_of(7, 2 * SECOND) == expected
+
+
+def test_keys_with_most_change_go_first_and_none_waits_for_ever() -> None:
+    counts = Counts("a", 1, WINDOW, 0)
+    for key in range(40):
+        counts.add(key, 0)
+    seen: set[int] = set()
+    for _ in range(16):  # twice the rounds that 40 keys take by 5
+        counts.add(39, 0, 100)
+        counts.add(38, 0, 50)
+        chosen = counts.urgent(5, 5)
+        assert counts.round < 3 or {38, 39} & set(chosen) or len(seen) < 40
+        counts.went(chosen)
+        seen |= set(chosen)
+    assert seen == set(range(40))
+    counts.add(20, 0, 500)
+    assert 20 in counts.urgent(5, 5)
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(st.lists(st.integers(1, 300), min_size=1, max_size=120))
+def test_a_datagram_counts_as_fresh_once(sequence: list[int]) -> None:
+    heard = Heard(sequence[0], first=sequence[0])
+    taken = {sequence[0]}
+    for each in sequence[1:]:
+        fresh = heard.fresh(each)
+        assert not (fresh and each in taken)
+        if heard.highest - each < 64 and each not in taken:
+            assert fresh
+        if fresh:
+            taken.add(each)
+
+
+def test_tenants_have_shares_of_the_whole_fleet() -> None:
+    a, b = Counts("a", 1, WINDOW, 0), Counts("b", 1, WINDOW, 0)
+    use, far = (TenantUse(each, ["big", "small", "here"], frozenset((0, 1))) for each in (a, b))
+    for _ in range(10):
+        use.came(1, 0)
+        far.came(0, 0)
+        far.came(0, 0)
+    use.came(3, 0)  # not listed
+    assert use.share(1, 0) == 1.0
+    a.take(message(b, 1, 0, *far.keys), 0)
+    assert use.share(1, SECOND) == pytest.approx(1 / 3) and use.share(0, SECOND) == pytest.approx(2 / 3)
+    assert use.share(2, SECOND) == 0.0  # its allowance is for one instance
+    assert use.share(3, SECOND) == 0.0
--- a/tests/decisions/test_limits.py
+++ b/tests/decisions/test_limits.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from plovertrail.decisions.counts import Counts, Message, Window
 from plovertrail.decisions.limits import (
     SHARED_ENTRIES,
     Allowance,
@@ -250,3 +251,49 @@
                 most = burst + rate * (now_us - since_us) / SECOND
                 assert len(ins[key]) - number <= most + 1e-3
     assert len(limit.entries) <= most_keys
+
+
+def shared(size: int, rate: float, burst: int) -> list[tuple[Limiter, Counts]]:
+    """The limits of so many instances that count together, and their counts."""
+    found = []
+    for number in range(size):
+        made = limiter(rate=rate, burst=burst, by=KeyedBy.ALL, fleet_wide=True)
+        made.counts = Counts(f"i{number}", 1, Window(10 * SECOND, 20), 0)
+        made.counts.size = size
+        found.append((made, made.counts))
+    return found
+
+
+def exchange(fleet: list[tuple[Limiter, Counts]], sequence: int, now_us: int) -> None:
+    key = fleet[0][0].shared_key("", "c")
+    for _, counts in fleet:
+        row = counts.row_out(key, now_us)
+        message = Message(counts.name, 1, sequence, now_us, (row,) if row is not None else ())
+        for _, other in fleet:
+            if other is not counts:
+                other.take(message, now_us)
+
+
+def test_a_part_that_shrinks_brings_no_burst_back() -> None:
+    fleet = shared(3, rate=0.01, burst=6)
+    got = [sum(let_in(limit, number * 1_000) for limit, _ in fleet) for number in range(4)]
+    exchange(fleet, 1, 5_000)
+    assert sum(got) == 6  # two each
+    for number in range(10, 400):  # the others are known now, and the part of each falls to a third
+        assert not any(let_in(limit, number * 1_000) for limit, _ in fleet)
+
+
+@pytest.mark.parametrize("loads", [(1, 1, 1, 1), (13, 3, 2, 2), (20, 0, 0, 0)])
+def test_a_rate_for_the_fleet_holds_in_all_however_the_load_is_spread(loads: tuple[int, ...]) -> None:
+    """Four are asked for 400 a second where 100 are allowed; each hears of the others ten times a second."""
+    fleet, rng, let = shared(4, rate=100.0, burst=8), random.Random(5), [0, 0, 0, 0]
+    for tick in range(12_000):  # 30 s
+        now_us = tick * 2_500
+        (number,) = rng.choices(range(4), loads)
+        if let_in(fleet[number][0], now_us) and now_us >= 5 * SECOND:
+            let[number] += 1
+        if tick % 40 == 0:
+            exchange(fleet, tick + 1, now_us)
+    assert 0.93 < sum(let) / 2_500 < 1.07
+    for number, load in enumerate(loads):  # each its part by what it is asked for
+        assert abs(let[number] / sum(let) - load / sum(loads)) < 0.06
--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Shared counts."""
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -80,6 +80,10 @@
         used = {getattr(node, "attr", getattr(node, "id", "")) for node in nodes}
         assert not used & refused, file
     assert len(files) > 10
+    loaded = {Path(file).relative_to(ROOT).as_posix() for file in files}
+    off = ("plovertrail/peers/", "plovertrail/decisions/counts", "plovertrail/hooks/", "plovertrail/nginx/",
+           "plovertrail/cli/", "plovertrail/rehearsal/", "plovertrail/config/operator")
+    assert not [file for file in loaded if file.startswith(off)]
 
 
 def test_the_decisions_read_no_name_and_no_number_of_an_instance() -> None:
