--- a/tests/benchmarks/test_short_forms.py
+++ b/tests/benchmarks/test_short_forms.py
@@ -26,6 +26,7 @@
         ),
         ("websocket_cost", ("--messages", "1800", "--sockets", "100"), "idle_bytes"),
         ("hook_cost", ("--requests", "400"), "one"),
+        ("shared_counts", ("--virtual", "--seconds", "8"), "let_through"),
     ],
 )
 def test_a_benchmark_prints_its_figures_and_bars(name: str, short: tuple[str, ...], figure: str) -> None:
