--- a/benchmarks/shared_counts.py
+++ b/benchmarks/shared_counts.py
@@ -1,11 +1,12 @@
 """Usage counted over instances: `python -m benchmarks.shared_counts`.
 
-Twenty instances with a UDP socket each on loopback, three tenants with changing load; three in ten datagrams
-are dropped by a printed seed, the others come up to 200 ms late; the fleet is split in halves for a while,
-and one instance restarts. Each second each instance's estimate is held against the true count and the bound that
-was stated before. Then, on the virtual clock, what a limit of 1,000 a second lets through in all: with shared
-counts, with a part for each by their number, and with neither. Then CPU and bytes a second of one instance
-among 5, 20 and 100 (the last on the virtual clock). `--virtual` plays all of it on the virtual clock.
+Twenty instances with a UDP socket each on loopback, three tenants with changing load; three in ten
+datagrams are dropped by a printed seed, the others come up to 200 ms late; the fleet is split in halves
+for a while, and one instance restarts. Each second each instance's estimate is held against the true
+count and the bound that was stated before. Then, on the virtual clock, what a limit of 1,000 a second
+lets through in all: with shared counts, with a part for each by their number, and with neither. Then CPU
+and bytes a second of one instance among 5, 20 and 100 (the last on the virtual clock). `--virtual` plays
+all of it on the virtual clock.
 """
 
 from __future__ import annotations
