--- a/plovertrail/config/peers.py
+++ b/plovertrail/config/peers.py
@@ -41,7 +41,7 @@
     loss: Annotated[float, msgspec.Meta(ge=0, le=0.9)] = 0.05
     delay: str = "50ms"
     most_part: Annotated[float, msgspec.Meta(gt=0, le=1)] = 1.0
-    keys_in_use: Annotated[int, msgspec.Meta(ge=1, le=65_536)] = 32
+    keys_in_use: Annotated[int, msgspec.Meta(ge=1, le=65_536)] = 16
     max_error: Annotated[float, msgspec.Meta(gt=0)] | None = None
     alone: Literal["share", "local"] = "share"
 
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -38,6 +38,7 @@
 from plovertrail.upstreams.connections import AnswerRules, ConnectionPool
 
 if TYPE_CHECKING:
+    from plovertrail.config.peers import PeersSetup
     from plovertrail.decisions.counts import Counts
     from plovertrail.hooks.engine import Compiled
     from plovertrail.hooks.hook import Hook
@@ -308,7 +309,7 @@
 
     def _follow_peers(self, setup: operator.Setup, sock: socket.socket | None) -> Counts | None:
         """Count together with other instances, where the setup says so."""
-        counts = self.peers.follow(setup.peers, sock)
+        counts = self._counts(setup.peers, sock)
         self.host.tenant_use = None
         if counts is not None and setup.fleet_tenants:
             from plovertrail.decisions.counts import TenantUse
@@ -317,6 +318,9 @@
             self.host.tenant_use = TenantUse(counts, names, setup.fleet_tenants)
         return counts
 
+    def _counts(self, setup: PeersSetup | None, sock: socket.socket | None) -> Counts | None:
+        return self.peers.follow(setup, sock)
+
     def _follow_limits(self, setup: operator.Setup, counts: Counts | None) -> None:
         """What keys have had counts on under other figures. Hazard: begun anew by every reload, a limit would
         let each key have its burst again."""
--- a/plovertrail/decisions/counts.py
+++ b/plovertrail/decisions/counts.py
@@ -299,13 +299,13 @@
         return part
 
     def _look_for_twins(self, part: Part, message: Message, now_us: int) -> None:
-        """Two live instances under one name: one says something that it sent after the other was first heard.
-        Both count, each under its own incarnation; only that is told. Hazard: what an earlier incarnation
-        had sent before its end may come late."""
+        """Two live instances under one name: the earlier one says something that it sent after the later one
+        was first heard. Both count, each under its own incarnation; only that is told. Hazard: what an
+        earlier incarnation had sent before its end may come late."""
         sent_us = message.sent_us + part.offset_us - self.silent_us
         other_us = [other.first_us for (name, incarnation), other in self.parts.items()
                     if name == part.name and incarnation != part.incarnation
-                    and now_us - other.heard_us < self.silent_us]
+                    and other.first_us >= part.first_us and now_us - other.heard_us < self.silent_us]
         if part.name == self.name:
             other_us.append(self.start_us)
         if any(sent_us > first_us for first_us in other_us):
@@ -332,6 +332,17 @@
             return own / whole
         return own / whole * min(1.0, (1 + self.count_heard(now_us)) / max(1, self.size))
 
+    def burst_part(self, key: int, burst: int, now_us: int) -> float:
+        """What this instance may have of a key's burst: its part by number, and of the rest what its steady
+        usage is of the fleet's. Hazard: by usage alone, all would have the whole burst of a key that none has
+        used; by number alone, one that has all of the traffic would refuse what comes a little thick."""
+        row = self.own.get(key)
+        at = (now_us - self.start_us) / self.window.bucket_us
+        newest = row.counts[row.newest % len(row.counts)] if row is not None and row.newest >= int(at) else 0
+        steady = max(0.0, self.own_count(key, now_us) - newest)
+        by_number = 1.0 / max(1, self.size)
+        return by_number + (1.0 - by_number) * steady / (steady + self._others(key, now_us)[0] + burst)
+
     def count_heard(self, now_us: int) -> int:
         """Other instances that are not silent."""
         return sum(now_us - part.heard_us < self.silent_us for part in self.parts.values())
--- a/plovertrail/decisions/limits.py
+++ b/plovertrail/decisions/limits.py
@@ -133,13 +133,12 @@
 
     def part_of(self, whole: Allowance, entry: Entry, tenant: str, client: str) -> Allowance:
         """What this instance may let in of a limit: all of it, or of one for all instances the part that its
-        usage is of theirs. Hazard: a burst that each may let in would be one for each; so that is shared out
-        by their number."""
+        usage is of theirs."""
         if self.counts is None or not whole.rate_per_s:
             return whole
         key = self.counts.add(self.shared_key(tenant, client), self.now_us)
         part = self.counts.part_of(key, self.now_us)
-        burst = max(1, round(whole.burst / max(1, self.counts.size)))
+        burst = max(1, int(whole.burst * self.counts.burst_part(key, whole.burst, self.now_us)))
         # hazard: what was let in counts in gaps as they were; with wider ones the burst would be there again
         gap_us = 1e6 / (whole.rate_per_s * part)
         if entry.gap_us and entry.free_us > self.now_us:
--- a/plovertrail/rehearsal/daemon.py
+++ b/plovertrail/rehearsal/daemon.py
@@ -11,8 +11,10 @@
 
 from plovertrail.clock import clock_us
 from plovertrail.config import operator
+from plovertrail.config.peers import PeersSetup
 from plovertrail.config.problems import ConfigError, Problem
 from plovertrail.daemon import Daemon
+from plovertrail.decisions.counts import Counts
 from plovertrail.decisions.membership import Candidate, Entry, State
 from plovertrail.exchange import Call
 from plovertrail.fronts import connections
@@ -154,6 +156,7 @@
         self.by_ident: dict[bytes, Asked] = {}
         self.asked: list[Asked] = []
         self.entries: dict[str, tuple[State, dict[tuple[str, int], Entry]]] = {}  # of pools, by address
+        self.counts: Counts | None = None  # of all instances, where the setup has others
         seeds = itertools.count(seed * 1_000_003 + 1)
         super().__init__(alone(setup), seeds.__next__, self.connections)
         self.lines = self.sockets.lines = Lines()  # type: ignore[assignment]
@@ -164,6 +167,21 @@
         new = [listener for listener in setup.listeners if listener.name not in self.fronts]
         return dict.fromkeys((listener.name for listener in new), cast(socket.socket, None))
 
+    def _bind_peers(self, setup: operator.Setup) -> None:
+        return None
+
+    def _counts(self, setup: PeersSetup | None, sock: socket.socket | None) -> Counts | None:
+        """What the daemon would count with its peers; they are played."""
+        before, self.counts = self.counts, None
+        if setup is not None:
+            known = before is not None and (before.name, before.window) == (setup.name, setup.window)
+            self.counts = before if known else Counts(setup.name, 1, setup.window, clock_us())
+            assert self.counts is not None
+            self.counts.most_keys, self.counts.alone_share = setup.most_keys, setup.alone_share
+            self.counts.size = len({*setup.addresses, setup.address})
+            self.counts.silent_us = setup.silent_us(self.counts.size)
+        return self.counts
+
     def _open(self, front: OrdinaryFront, sock: socket.socket) -> None:
         pass
 
@@ -254,4 +272,14 @@
             servers += [entry for entry in found.entries if entry.id not in known]
         pools[name] = replace(pool, servers=tuple(servers), files=())
     fleet = replace(setup.fleet, list_path="")
-    return replace(setup, pools=pools, fleet=fleet, state_file="", control_socket="", socket_log="")
+    peers = setup.peers
+    if peers is not None and peers.list_path:
+        listed = first_read(FileSource(peers.list_path, False))
+        if isinstance(listed, str):
+            told = f"{peers.list_path}: {listed}"
+            problem = Problem("peers.peers_from", told, "a rehearsal reads it now")
+            raise ConfigError(setup.path, [problem])
+        addresses = tuple(entry.address for entry in listed.entries)
+        peers = replace(peers, addresses=addresses, list_path="")
+    return replace(setup, pools=pools, fleet=fleet, peers=peers, state_file="", control_socket="",
+                   socket_log="")
--- /dev/null
+++ b/plovertrail/rehearsal/peers.py
@@ -0,0 +1,66 @@
+"""Other instances of a rehearsal: what they are asked for, told to the daemon as datagrams would tell it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from plovertrail.clock import clock_us
+from plovertrail.config.peers import PeersSetup
+from plovertrail.decisions.counts import Counts, Message, key_of
+from plovertrail.decisions.limits import Limiter
+from plovertrail.rehearsal.written import Others
+
+Limiters = Callable[[], dict[str, Limiter]]
+
+
+class PlayedPeer:
+    """One other instance: asked for its part of a rate, at even steps, and heard once a round, as late as the
+    settings allow for."""
+
+    def __init__(self, name: str, others: Others, setup: PeersSetup, daemon: Counts, limiters: Limiters,
+                 zero_us: int) -> None:
+        self.others = others
+        self.setup = setup
+        self.daemon = daemon
+        self.limiters = limiters
+        self.zero_us = zero_us
+        self.counts = Counts(name, 1, setup.window, clock_us(), most_keys=64)
+        self.sequence = 0
+        self.asked = 0  # so far
+        self.loop = asyncio.get_running_loop()
+        self.round_us = int(setup.talk(daemon.size).round_s * 1e6)
+        self.loop.call_at((zero_us + others.at_us) / 1e6, self.speak)
+
+    def key(self) -> int | None:
+        """What its requests count under; none while no such limit is in force."""
+        others = self.others
+        if not others.limiter:
+            return key_of("tenant", others.tenant)
+        limiter = self.limiters().get(others.limiter)
+        return limiter.shared_key(others.tenant, others.client) if limiter is not None else None
+
+    def speak(self) -> None:
+        now_us, others, key = clock_us(), self.others, self.key()
+        since_us = now_us - self.zero_us - others.at_us
+        due = int(others.rate / others.instances * since_us / 1e6)
+        if key is not None and due > self.asked:
+            self.counts.add(key, now_us, due - self.asked)
+        self.asked = due
+        row = self.counts.row_out(key, now_us) if key is not None else None
+        self.sequence += 1
+        message = Message(self.counts.name, 1, self.sequence, now_us - self.counts.start_us,
+                          (row,) if row is not None else ())
+        self.loop.call_later(self.setup.delay_us / 1e6, self.heard, message)
+        if not others.until_us or now_us + self.round_us <= self.zero_us + others.until_us:
+            self.loop.call_later(self.round_us / 1e6, self.speak)
+
+    def heard(self, message: Message) -> None:
+        self.daemon.take(message, clock_us())
+
+
+def begin(rows: tuple[Others, ...], setup: PeersSetup, daemon: Counts, limiters: Limiters,
+          zero_us: int) -> list[PlayedPeer]:
+    """The other instances of a scenario; those of one row are called after it."""
+    return [PlayedPeer(f"peers[{number}].{each}", others, setup, daemon, limiters, zero_us)
+            for number, others in enumerate(rows) for each in range(others.instances)]
--- a/plovertrail/rehearsal/play.py
+++ b/plovertrail/rehearsal/play.py
@@ -88,6 +88,11 @@
 
     async def play(self) -> Played:
         loop, played = asyncio.get_running_loop(), self.played
+        if self.daemon.counts is not None and played.setup.peers is not None:
+            from plovertrail.rehearsal.peers import begin
+
+            begin(self.scenario.peers, played.setup.peers, self.daemon.counts, lambda: self.daemon.limiters,
+                  played.zero_us)
         for event in self.scenario.events:
             loop.call_at((played.zero_us + event.at_us) / 1e6, self.happens, event)
         last_us = max([event.at_us for event in self.scenario.events], default=0)
--- a/tests/config/test_docs.py
+++ b/tests/config/test_docs.py
@@ -11,6 +11,7 @@
 from plovertrail.config import operator
 from plovertrail.config.hooks import HookTable
 from plovertrail.config.limiters import LimiterTable
+from plovertrail.config.peers import PeersTable
 
 PAGE = (Path(__file__).resolve().parents[2] / "docs" / "operator.md").read_text()
 SECTIONS: dict[str, type[msgspec.Struct]] = {
@@ -52,6 +53,19 @@
             assert told[name] == (default if isinstance(default, str) else f"{default:g}"), name
 
 
+def test_every_key_of_peers_is_on_its_page() -> None:
+    page = (Path(__file__).resolve().parents[2] / "docs" / "peers.md").read_text()
+    text = page.split("## `[peers]`")[1].split("\n`scope")[0]
+    rows = [line.split("|") for line in text.splitlines() if line.startswith("| `")]
+    told = {key: row[2] for row in rows for key in re.findall(r"`([a-z_]+)`", row[1])}
+    fields = {field.encode_name: field.default for field in msgspec.structs.fields(PeersTable)}
+    assert set(told) == set(fields)
+    for name, default in fields.items():
+        if isinstance(default, str | float | int) and default != "":
+            shown = f'"{default}"' if isinstance(default, str) else f"{default:g}"
+            assert shown in told[name], name
+
+
 def test_every_key_of_fair_is_on_its_page() -> None:
     page = (Path(__file__).resolve().parents[2] / "docs" / "fair.md").read_text()
     text = page.split("## `fair` of")[1].split("\n## ")[0]
--- a/tests/decisions/test_counts.py
+++ b/tests/decisions/test_counts.py
@@ -133,6 +133,15 @@
     assert b.estimate(7, 1_020 * SECOND) == 0
 
 
+def test_a_restart_is_not_taken_for_two_instances_under_one_name() -> None:
+    b = Counts("b", 1, WINDOW, 0)
+    for incarnation, begins_us in ((5, 0), (6, 3 * SECOND), (4, 6 * SECOND)):  # its clock steps back
+        for number in range(1, 31):
+            sent_us = number * 100_000
+            b.take(Message("a", incarnation, number, sent_us, ()), begins_us + sent_us)
+            assert not b.twins
+
+
 def test_two_instances_under_one_name_both_count_and_are_told() -> None:
     one, other, third = Counts("a", 1, WINDOW, 0), Counts("a", 2, WINDOW, 0), Counts("c", 1, WINDOW, 0)
     for number in range(1, 60):
--- a/tests/rehearsal/test_run.py
+++ b/tests/rehearsal/test_run.py
@@ -361,3 +361,76 @@
     text = '[[requests]]\nask = "GET http://h/t/xy"\nroute = "{}"\n'
     assert not told(tmp_path, text.format("one"), SITE + routes)
     assert "route is 'one', not 'two'" in told(tmp_path, text.format("two"), SITE + routes)
+
+
+PEERS = """
+[peers]
+name = "a"
+address = "127.0.0.1:7400"
+addresses = ["127.0.0.1:7400", "127.0.0.1:7401", "127.0.0.1:7402", "127.0.0.1:7403"]
+key_files = ["{key}"]
+{alone}
+[tenants.acme]
+allowance_per_s = 10
+[limiters.orders]
+by = "tenant"
+rate_per_s = 40
+burst = 8
+scope = "fleet"
+"""
+
+
+def shared_site(folder: Path, alone: str = "") -> str:
+    (folder / "key").write_text("0123456789abcdef")
+    limited = 'path = "/buy"\nlimiters = ["orders"]\ntenant = "header:X-Tenant"\n'
+    site = SITE.replace('path = "/buy"\n', limited)
+    return PEERS.format(key=folder / "key", alone=alone) + site
+
+
+@pytest.mark.parametrize(
+    ("peers", "alone", "served"),
+    [
+        # three others that are asked for 120 a second beside the 25 here: of 40 there are 7 for this one
+        ('[{ limiter = "orders", tenant = "acme", rate = 120, instances = 3 }]', "", "[22, 40]"),
+        # they are heard, and have no use for the limit: all of it is here
+        ("[{ instances = 3 }]", "", "[85, 100]"),
+        # they fall silent: this one keeps to its part by number, or takes all of it
+        ('[{ instances = 3, until = "1s" }]', "", "[30, 60]"),
+        ('[{ instances = 3, until = "1s" }]', 'alone = "local"', "[85, 100]"),
+        ("[]", "", "[30, 60]"),
+    ],
+)
+def test_a_limit_for_the_fleet_is_played_with_other_instances(
+    tmp_path: Path, peers: str, alone: str, served: str
+) -> None:
+    text = f"""
+[[scenarios]]
+name = "orders"
+peers = {peers}
+expect = [{{ of = "here", since = "4s", served = {served} }}]
+[[scenarios.loads]]
+name = "here"
+ask = "POST http://h/buy"
+headers = {{ X-Tenant = "acme" }}
+rate = 25
+until = "12s"
+"""
+    assert told(tmp_path, text, shared_site(tmp_path, alone)) == ""
+    wrong = text.replace(served, "[0, 10]" if served != "[0, 10]" else "[90, 100]")
+    assert "% served" in told(tmp_path, wrong, shared_site(tmp_path, alone))
+
+
+def test_what_is_wrong_with_other_instances_is_told(tmp_path: Path) -> None:
+    def wrong(peers: str, site: str) -> str:
+        text = scenario(f"peers = [{peers}]", 'expect = [{ of = "all", status = [200] }]')
+        with pytest.raises(ConfigError) as caught:
+            held(tmp_path, text, site)
+        return str(caught.value)
+
+    site = shared_site(tmp_path)
+    assert "instances don't count together in this file; write [peers] there" in wrong("{ }", SITE)
+    assert 'no limiter for the fleet is called "order"; did you mean "orders"?' in wrong(
+        '{ limiter = "order" }', site)
+    assert 'no tenant is called "acm"' in wrong('{ tenant = "acm" }', site)
+    assert "a rate of nothing" in wrong("{ rate = 5 }", site)
+    assert "they are heard for no time" in wrong('{ at = "2s", until = "1s" }', site)
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -249,6 +249,8 @@
             for name in names
         )
         site = Site(tmp_path, pool=pools, routes=routes)
+        # they are held up for as long as this machine takes for all of it
+        site.path.write_text(site.path.read_text().replace('deadline = "15s"', 'deadline = "2m"'))
         it = await site.start()
         clients = [await it.connect() for _ in names]
         for number in range(50):  # one by one, as the door's queue is short
