Calls for the list are spread over the fleet; repeats kept discovery down

All call at one moment; calls that wait 2 s fail and are work for discovery all the same; repeats after 0.25 s and at most half of ask-within came faster than it answers. Lines at fault: on_list's back-off and list_turn_us, 0 where list_calls_per_s isn't told. Ruled out: an outage (other watches went on). Change: 0.1 s for each sidecar at the start, doubled after each failure, within half of what rule 3 allows after one. Tests: forty against a discovery that works on failed calls; waits within the rule.

--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -59,6 +59,7 @@
 LOG_GAP_US = 1_000_000  # a line a second at most, however many upstreams change
 NEVER_US = 2 ** 62  # later than any clock says
 FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
+LIST_CALL_US = 100_000  # of discovery's time that one call is reckoned to take
 
 
 class Pool:
@@ -762,10 +763,13 @@
     def on_list(self, event: api.UpstreamsUpdated) -> None:
         if event.kind is api.ListKind.FAILED:
             self.list_failures += 1
-            # doubles with each failure; jittered, as all sidecars fail together; inside ask-within (rule 3)
-            longest_us = max(1, self.settings.ask_within_us // 2)
-            backoff_us = min(FIRST_RETRY_US * 2 ** min(self.list_failures - 1, 20), longest_us)
-            after_us = int(backoff_us * (0.5 + self.random.random() / 2))
+            # doubles with each failure; over a span for all sidecars, as they fail together. Hazard: what
+            # waits for too long is work for discovery all the same, and calls that come faster than it
+            # answers fail for ever. After a failed call rule 3 allows for four times ask-within
+            longest_us = max(1, 2 * self.settings.ask_within_us)
+            span_us = max(FIRST_RETRY_US, LIST_CALL_US * self.settings.instances)
+            span_us = min(span_us * 2 ** min(self.list_failures - 1, 20), longest_us)
+            after_us = int(span_us * (0.25 + 0.75 * self.random.random()))
             self.ask_list_at(self.now_us + max(after_us, min(self.list_turn_us(), longest_us)))
             return
         if event.kind is not api.ListKind.CACHED:
@@ -810,7 +814,8 @@
         """This sidecar's turn, at random, among all that ask for the list at one moment: after a restart of
         the fleet, or of discovery. Hazard: what discovery can't bear it ends, and all ask again."""
         if self.settings.list_calls_per_s <= 0.0:
-            return 0
+            span_us = min(LIST_CALL_US * self.settings.instances, self.settings.ask_within_us // 2)
+            return int(span_us * self.random.random())
         return list_turn_us(self.settings.instances, self.settings.list_calls_per_s, self.random.random())
 
     def ask_list_at(self, at_us: int) -> None:
--- a/plovertrail/decisions/counts.py
+++ b/plovertrail/decisions/counts.py
@@ -48,7 +48,7 @@
 
     def __init__(self, slots: int, newest: int = 0) -> None:
         self.newest = newest
-        self.counts = array("Q", [0] * slots)
+        self.counts = array("I", [0] * slots)  # 4 bytes each: MOST_COUNT
 
     def advance(self, bucket: int) -> None:
         """Make room up to a bucket; what is older than all slots is forgotten."""
