A shared limit's burst keeps to what is heard of the fleet, as its rate does

Cause: of twenty that start at one moment none has heard of another, and each took its burst's part by usage for all of it: 1,080 let in in 2 s where 100 a second are allowed (a test on the virtual clock). Change: the part by usage counts for those that are heard, as the rate's does; tests of the start of all at once, and of a reload that changes the limit and the peers while requests come.

--- a/plovertrail/decisions/counts.py
+++ b/plovertrail/decisions/counts.py
@@ -328,9 +328,7 @@
         ones keep their part by number, unless each may have all of it then."""
         own = max(1.0, self.own_count(key, now_us))
         whole = own + self._others(key, now_us)[0]
-        if not self.alone_share:
-            return own / whole
-        return own / whole * min(1.0, (1 + self.count_heard(now_us)) / max(1, self.size))
+        return own / whole * self._in_reach(now_us)
 
     def burst_part(self, key: int, burst: int, now_us: int) -> float:
         """What this instance may have of a key's burst: its part by number, and of the rest what its steady
@@ -341,7 +339,15 @@
         newest = row.counts[row.newest % len(row.counts)] if row is not None and row.newest >= int(at) else 0
         steady = max(0.0, self.own_count(key, now_us) - newest)
         by_number = 1.0 / max(1, self.size)
-        return by_number + (1.0 - by_number) * steady / (steady + self._others(key, now_us)[0] + burst)
+        by_usage = steady / (steady + self._others(key, now_us)[0] + burst)
+        return by_number + (1.0 - by_number) * by_usage * self._in_reach(now_us)
+
+    def _in_reach(self, now_us: int) -> float:
+        """Of what is for all, what this instance and those that it hears may have. Hazard: all start at one
+        moment, and none has heard of another yet."""
+        if not self.alone_share:
+            return 1.0
+        return min(1.0, (1 + self.count_heard(now_us)) / max(1, self.size))
 
     def count_heard(self, now_us: int) -> int:
         """Other instances that are not silent."""
--- a/tests/decisions/test_limits.py
+++ b/tests/decisions/test_limits.py
@@ -297,3 +297,11 @@
     assert 0.93 < sum(let) / 2_500 < 1.07
     for number, load in enumerate(loads):  # each its part by what it is asked for
         assert abs(let[number] / sum(let) - load / sum(loads)) < 0.06
+
+
+def test_all_that_start_at_once_stay_within_the_limit_before_any_has_heard_of_another() -> None:
+    fleet = shared(20, rate=100.0, burst=100)
+    let = 0
+    for tick in range(2_000):  # 2 s, a request a millisecond
+        let += let_in(fleet[tick % 20][0], tick * 1_000)
+    assert 150 < let <= 2 * 100 + 2 * 100  # the rate and, shared out, a burst that grows with steady usage
--- a/tests/peers/test_talk.py
+++ b/tests/peers/test_talk.py
@@ -173,6 +173,29 @@
     run(test)
 
 
+def test_a_reload_that_changes_the_limit_and_the_peers_counts_on(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, 3) as daemons:
+            one = daemons[0]
+            await until(lambda: all(heard(it) == 2 for it in daemons))
+            while (await one.ask(buy())).status == 200:
+                pass
+            text = one.path.read_text()
+            assert await one.change(text.replace("rate_per_s = 0.01", "rate_per_s = 100000"))
+            while (await one.ask(buy())).status != 200:  # what it owed is soon paid by the new rate
+                pass
+            before = used(one)
+            ports = [it.daemon.peers.talk.setup.address[1] for it in daemons if it.daemon.peers.talk]
+            assert await one.change(text.replace(f', "127.0.0.1:{ports[2]}"', ""))
+            status = one.daemon.status()["peers"]
+            assert status["size"] == 2 and list(status["peers"]) == [f"127.0.0.1:{ports[1]}"]
+            assert used(one) == before  # what is known of one that left counts till its window has passed
+            assert not await one.change(text.replace('period = "20ms"', 'period = "20"'))
+            assert one.daemon.status()["peers"]["size"] == 2
+
+    run(test)
+
+
 def test_garbage_and_forged_datagrams_harm_nothing_and_are_told_at_a_bounded_rate(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
@@ -261,8 +284,8 @@
     assert "peers.key_files: 0 keys" in wrong(tmp_path, key_files="[]")
     assert "peers.period: '1ms' is too short" in wrong(tmp_path, period='"1ms"')
     assert "is shorter than the period" in wrong(tmp_path, period='"2s"')
-    assert "peers.window: it holds 0.5 s, and a peer counts as silent only" in wrong(
-        tmp_path, window='"500ms"', fan_out="1")
+    assert "peers.window: it holds 0.3 s, and a peer counts as silent only" in wrong(
+        tmp_path, window='"300ms"', buckets="4", fan_out="1")
     assert "peers.max_error: these settings can't hold it" in wrong(tmp_path, max_error="0.01")
     assert 'peers.perod: unknown key; did you mean "period"?' in wrong(tmp_path, 'perod = "1s"')
 
