--- a/plovertrail/cli/hook.py
+++ b/plovertrail/cli/hook.py
@@ -12,8 +12,8 @@
 import click
 
 from plovertrail.config.hooks import HookSetup
-from plovertrail.config.operator import LimitsTable
 from plovertrail.config.tables import size_bytes
+from plovertrail.config.written import LimitsTable
 
 if TYPE_CHECKING:  # the engine is an extra, and only these commands need it
     from plovertrail.hooks.engine import Compiled, Runtime
--- a/tests/config/test_docs.py
+++ b/tests/config/test_docs.py
@@ -8,22 +8,22 @@
 import msgspec
 import pytest
 
-from plovertrail.config import operator
+from plovertrail.config import written
 from plovertrail.config.hooks import HookTable
 from plovertrail.config.limiters import LimiterTable
 from plovertrail.config.peers import PeersTable
 
 PAGE = (Path(__file__).resolve().parents[2] / "docs" / "operator.md").read_text()
 SECTIONS: dict[str, type[msgspec.Struct]] = {
-    "[limits]": operator.LimitsTable,
-    "[listeners.NAME]": operator.ListenerTable,
-    "[classes.NAME]": operator.ClassTable,
-    "[pools.NAME]": operator.PoolTable,
-    "[[routes]]": operator.RouteTableRow,
+    "[limits]": written.LimitsTable,
+    "[listeners.NAME]": written.ListenerTable,
+    "[classes.NAME]": written.ClassTable,
+    "[pools.NAME]": written.PoolTable,
+    "[[routes]]": written.RouteTableRow,
     "[hooks.NAME]": HookTable,
-    "[daemon]": operator.DaemonTable,
-    "[fleet]": operator.FleetTable,
-    "[pools.NAME.share]": operator.ShareTable,
+    "[daemon]": written.DaemonTable,
+    "[fleet]": written.FleetTable,
+    "[pools.NAME.share]": written.ShareTable,
 }
 
 
@@ -46,7 +46,7 @@
     page = (Path(__file__).resolve().parents[2] / "docs" / "sockets.md").read_text()
     text = page.split("## `[websockets.NAME]`")[1].split("\n## ")[0]
     told = dict(re.findall(r"^\| `([a-z_]+)` \| `?\"?([^`\"|]+?)\"?`? \|", text, re.M))
-    fields = {field.name: field.default for field in msgspec.structs.fields(operator.WebSocketTable)}
+    fields = {field.name: field.default for field in msgspec.structs.fields(written.WebSocketTable)}
     assert set(told) == set(fields)
     for name, default in fields.items():
         if not isinstance(default, msgspec.UnsetType) and name != "origins":
@@ -70,7 +70,7 @@
     page = (Path(__file__).resolve().parents[2] / "docs" / "fair.md").read_text()
     text = page.split("## `fair` of")[1].split("\n## ")[0]
     told = dict(re.findall(r"^\| `([a-z_]+)` \| `\"?([^`\"|]+?)\"?` \|", text, re.M))
-    for field in msgspec.structs.fields(operator.FairTable):
+    for field in msgspec.structs.fields(written.FairTable):
         assert told.pop(field.name) == str(field.default)
     assert not told
 
@@ -91,5 +91,5 @@
     page = (Path(__file__).resolve().parents[2] / "docs" / "lists.md").read_text()
     text = page.split("## Guards")[1].split("\n## ")[0]
     rows = dict(re.findall(r"^\| `([a-z_]+)` \| (\S+) \|", text, re.M))
-    assert set(rows) == {field.name for field in msgspec.structs.fields(operator.GuardsTable)}
+    assert set(rows) == {field.name for field in msgspec.structs.fields(written.GuardsTable)}
     assert rows["most_dropped"] == "`0.5`" and rows["judged_from"] == "`4`" and rows["damping"] == "`true`"
