Rehearsals play lists from a source, held to the pool's guards

Change: events with pool, lists and version step the pool's reducer as a file's list does; refused ones are in the trace.

--- a/plovertrail/rehearsal/daemon.py
+++ b/plovertrail/rehearsal/daemon.py
@@ -239,6 +239,14 @@
         layer = next(layer for layer in roster.state.layers if layer.source == INLINE)
         roster.step(Candidate(INLINE, change(tuple(layer.entries)), by_operator=True))
 
+    def list_servers(self, pool: str, wanted: frozenset[str], known: tuple[Entry, ...],
+                     version: int) -> tuple[str, ...]:
+        """A source's list comes, and is held to the guards as a file's would be; why it is refused, if so."""
+        roster = self.pools[pool].roster
+        entries = tuple(entry for entry in known if entry.id in wanted)
+        roster.step(Candidate(INLINE, entries, version))
+        return roster.state.refused.get(INLINE, ())
+
     def refusing(self) -> set[str]:
         """The limits, doors and hooks that have held a request back, or had a say."""
         found = {
--- a/plovertrail/rehearsal/play.py
+++ b/plovertrail/rehearsal/play.py
@@ -129,6 +129,9 @@
             self.played.told.append((now_us, f"reload: {event.reload}"))
             self.daemon.follow(operator.load(event.reload))
             return
+        if event.lists is not None:
+            self.lists(event, event.lists, now_us)
+            return
         where = f"{event.pool}/{event.server}"
         if event.behaviour is not None:
             self.behaviours[event.pool, event.server] = event.behaviour
@@ -158,6 +161,20 @@
         self.played.moved.append(Moved(now_us, event.pool, event.server, event.move))
 
 
+    def lists(self, event: Event, wanted: frozenset[str], now_us: int) -> None:
+        """A pool's source has another list."""
+        roster = self.daemon.pools[event.pool].roster
+        before = set(roster.state.members)
+        refused = self.daemon.list_servers(
+            event.pool, wanted, self.played.setup.pools[event.pool].servers, event.version
+        )
+        text = f"{event.pool} lists {', '.join(sorted(wanted)) or 'no server'}"
+        self.played.told.append((now_us, f"{text}: refused, {'; '.join(refused)}" if refused else text))
+        after = set(roster.state.members)
+        for ident in sorted(before ^ after):
+            self.played.moved.append(Moved(now_us, event.pool, ident, "join" if ident in after else "gone"))
+
+
 def play(setup: operator.Setup, scenario: Scenario, seed: int, only: Collection[int] | None = None) -> Played:
     """Play a scenario; `only` names the requests that come, all if None."""
     loop = VirtualLoop(seed)
--- a/plovertrail/rehearsal/written.py
+++ b/plovertrail/rehearsal/written.py
@@ -72,6 +72,9 @@
     status: Annotated[int, msgspec.Meta(ge=400, le=599)] = 500
     move: Literal["", "drain", "undrain", "gone", "join"] = ""
     reload: str = ""
+    pool: str = ""
+    lists: list[str] | None = None
+    version: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class ExpectTable(msgspec.Struct, kw_only=True, rename={"class_name": "class"}):
@@ -176,6 +179,8 @@
     behaviour: Behaviour | None = None
     move: str = ""
     reload: str = ""
+    lists: frozenset[str] | None = None  # the ids of the servers that the pool's source lists from now on
+    version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -396,10 +401,17 @@
         if table is None:
             return None
         at_us = self.time(table.at, f"{place}.at")
-        if sum(map(bool, (table.does, table.move, table.reload))) != 1:
+        if sum((bool(table.does), bool(table.move), bool(table.reload), table.lists is not None)) != 1:
             self.wrong(
-                place, "one of does, move and reload is wanted", 'write does = "silent", move = "drain"'
+                place,
+                "one of does, move, lists and reload is wanted",
+                'write does = "silent", move = "drain"',
             )
+        if table.lists is not None:
+            self.known(table.pool, set(self.setup.pools), f"{place}.pool", "pool")
+            for number, ident in enumerate(table.lists):
+                self.known(f"{table.pool}/{ident}", self.servers, f"{place}.lists[{number}]", "server")
+            return Event(at_us, table.pool, lists=frozenset(table.lists), version=table.version)
         if table.reload:
             return Event(at_us, reload=str(Path(self.path).parent / table.reload))
         pool, _, server = table.server.partition("/")
--- a/tests/rehearsal/test_run.py
+++ b/tests/rehearsal/test_run.py
@@ -434,3 +434,27 @@
     assert 'no tenant is called "acm"' in wrong('{ tenant = "acm" }', site)
     assert "a rate of nothing" in wrong("{ rate = 5 }", site)
     assert "they are heard for no time" in wrong('{ at = "2s", until = "1s" }', site)
+
+
+def test_guards_of_lists_are_played(tmp_path: Path) -> None:
+    """Of three servers a list may drop one by the guards as written here; an empty one is refused."""
+    guards = 'warm_up = "4s"\nguards = { judged_from = 2, most_dropped = 0.4 }\n'
+    guarded = SITE.replace('warm_up = "4s"\n', guards)
+
+    def events(*rows: str) -> str:
+        return "events = [" + ", ".join(f'{{ pool = "main", {row} }}' for row in rows) + "]"
+
+    goes_on = 'expect = [{ of = "all", since = "500ms", share = { "main/a" = [10, 90] } }]'
+    stays = scenario(events('at = "200ms", lists = []', 'at = "300ms", lists = ["c"]'), goes_on)
+    assert told(tmp_path, stays, guarded) == ""
+    gone = 'expect = [{ of = "all", since = "500ms", never_to = ["main/a"] }]'
+    assert "main/a" in told(tmp_path, stays.replace(goes_on, gone), guarded)
+    dropped = scenario(events('at = "200ms", lists = ["b", "c"], version = 5'), gone)
+    assert told(tmp_path, dropped, guarded) == ""
+    older = scenario(events('at = "200ms", lists = ["a", "b", "c"], version = 5',
+                            'at = "300ms", lists = ["b", "c"], version = 4'), goes_on)
+    assert told(tmp_path, older, guarded) == ""
+    shown = told(tmp_path, stays.replace(goes_on, gone), guarded)
+    assert "main lists no server: refused, the list is empty" in shown
+    with pytest.raises(ConfigError, match='no server is called "main/zz"'):
+        held(tmp_path, scenario(events('at = "1s", lists = ["zz"]'), gone))
