--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -60,6 +60,7 @@
 NEVER_US = 2 ** 62  # later than any clock says
 FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
 LIST_CALL_US = 100_000  # of discovery's time that one call is reckoned to take
+LEAST_WAIT = 0.25  # of the span after a failure: sooner, it would find the same crowd there
 
 
 class Pool:
@@ -769,7 +770,7 @@
             longest_us = max(1, 2 * self.settings.ask_within_us)
             span_us = max(FIRST_RETRY_US, LIST_CALL_US * self.settings.instances)
             span_us = min(span_us * 2 ** min(self.list_failures - 1, 20), longest_us)
-            after_us = int(span_us * (0.25 + 0.75 * self.random.random()))
+            after_us = int(span_us * (LEAST_WAIT + (1.0 - LEAST_WAIT) * self.random.random()))
             self.ask_list_at(self.now_us + max(after_us, min(self.list_turn_us(), longest_us)))
             return
         if event.kind is not api.ListKind.CACHED:
