--- a/benchmarks/shared_counts.py
+++ b/benchmarks/shared_counts.py
@@ -15,17 +15,19 @@
 import asyncio
 import random
 import socket
+import statistics
 import sys
 import time
 from bisect import bisect_left, bisect_right
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, cast
 
 from benchmarks.report import Bar, close, table
 from plovertrail.clock import clock_us
 from plovertrail.config.peers import PeersSetup
 from plovertrail.decisions.counts import Window, key_of
-from plovertrail.decisions.counts_bound import Talk, bound, partition_under
+from plovertrail.decisions.counts_bound import Talk, bound
 from plovertrail.decisions.limits import Allowance, KeyedBy, Limiter, LimiterSettings, Permit, admit
 from plovertrail.peers.talk import PeerTalk, bind
 from standins.peers_model import KEY, SECOND_US, PeersModel
@@ -44,15 +46,18 @@
 class LossySocket:
     """Sends late, or not at all; stands where a socket does."""
 
-    def __init__(self, sock: socket.socket, rng: random.Random, through: Callable[[Any], bool]) -> None:
+    def __init__(self, sock: socket.socket, talk: Talk, rng: random.Random,
+                 through: Callable[[Any], bool]) -> None:
         self.sock = sock
+        self.talk = talk
         self.rng = rng
         self.through = through
         self.fileno, self.close, self.recvfrom = sock.fileno, sock.close, sock.recvfrom
 
     def sendto(self, data: bytes, address: Any) -> None:
-        if self.rng.random() >= TALK.loss and self.through(address):
-            asyncio.get_running_loop().call_later(self.rng.random() * TALK.delay_s, self.late, data, address)
+        if self.rng.random() >= self.talk.loss and self.through(address):
+            late_s = self.rng.random() * self.talk.delay_s
+            asyncio.get_running_loop().call_later(late_s, self.late, data, address)
 
     def late(self, data: bytes, address: Any) -> None:
         if self.sock.fileno() >= 0:
@@ -62,31 +67,34 @@
 class RealFleet:
     """Instances with sockets on loopback, in this process."""
 
-    def __init__(self, size: int, seed: int, lossy: bool = True) -> None:
+    def __init__(self, talk: Talk, seed: int) -> None:
+        self.talk = talk
         self.rng = random.Random(seed)
-        self.lossy = lossy
-        self.socks = [bind(("127.0.0.1", 0)) for _ in range(size)]
+        self.socks = [bind(("127.0.0.1", 0)) for _ in range(talk.size)]
         self.addresses = [sock.getsockname() for sock in self.socks]
         self.numbers = {address: number for number, address in enumerate(self.addresses)}
         self.split = False
         self.talks = [self.start(number, sock) for number, sock in enumerate(self.socks)]
         self.truth: dict[int, list[int]] = {key: [] for key in TENANTS}
+        self.halves: tuple[dict[int, list[int]], ...] = tuple({key: [] for key in TENANTS} for _ in range(2))
 
     @property
     def now_us(self) -> int:
         return clock_us()
 
     def start(self, number: int, sock: socket.socket) -> PeerTalk:
-        window = Window(int(TALK.window_s * SECOND_US), round(TALK.window_s / TALK.bucket_s))
-        setup = PeersSetup(f"i{number}", self.addresses[number], tuple(self.addresses), "", "bench", (KEY,),
-                           int(TALK.period_s * SECOND_US), TALK.fan_out, window, 4_096, True, TALK.loss,
-                           int(TALK.delay_s * SECOND_US), 1.0, 32)
+        talk = self.talk
+        window = Window(int(talk.window_s * SECOND_US), round(talk.window_s / talk.bucket_s))
+        setup = PeersSetup(f"i{number}", self.addresses[number], tuple(self.addresses), "", talk.size,
+                           "bench", (KEY,), int(talk.period_s * SECOND_US), talk.fan_out, window, 4_096, True,
+                           talk.loss, int(talk.delay_s * SECOND_US), 1.0, talk.keys)
 
         def through(address: Any) -> bool:
             return not self.split or self.numbers[address] % 2 == number % 2
 
-        lossy = cast(socket.socket, LossySocket(sock, self.rng, through)) if self.lossy else sock
-        return PeerTalk(setup, lossy, self.rng.randrange(2 ** 32))
+        if talk.loss:
+            sock = cast(socket.socket, LossySocket(sock, talk, self.rng, through))
+        return PeerTalk(setup, sock, self.rng.randrange(2 ** 32))
 
     def restart(self, number: int) -> None:
         again = self.socks[number].dup()
@@ -98,6 +106,7 @@
         now_us = clock_us()
         self.talks[number].counts.add(key, now_us)
         self.truth[key].append(now_us)
+        self.halves[number % 2][key].append(now_us)
 
     def estimate(self, number: int, key: int) -> float:
         return self.talks[number].counts.estimate(key, clock_us())
@@ -110,19 +119,16 @@
 class VirtualFleet(PeersModel):
     """The same on the virtual clock."""
 
-    def __init__(self, size: int, seed: int) -> None:
-        super().__init__(TALK, seed=seed)
+    def __init__(self, talk: Talk, seed: int) -> None:
+        super().__init__(talk, seed=seed)
         self.truth = {key: [] for key in TENANTS}
-        self._split = False
-        self.delivers = lambda sender, receiver: not self._split or sender % 2 == receiver % 2
-
-    @property
-    def split(self) -> bool:
-        return self._split
+        self.halves: tuple[dict[int, list[int]], ...] = tuple({key: [] for key in TENANTS} for _ in range(2))
+        self.split = False
+        self.delivers = lambda sender, receiver: not self.split or sender % 2 == receiver % 2
 
-    @split.setter
-    def split(self, split: bool) -> None:
-        self._split = split
+    def count(self, number: int, key: int) -> None:
+        super().count(number, key)
+        self.halves[number % 2][key].append(self.now_us)
 
 
 Fleet = RealFleet | VirtualFleet
@@ -152,10 +158,12 @@
             times = fleet.truth[key]
             true = len(times) - bisect_right(times, now_us - int(TALK.window_s * SECOND_US))
             fast = peak(times, now_us, TALK.bucket_s)
-            under = peak(times, now_us, self.stated.staleness_s) * self.stated.staleness_s
-            under += fast * TALK.bucket_s + partition_under(split_s, 0.6, TALK) * TALK.window_s * fast
+            stale = peak(times, now_us, self.stated.staleness_s) * self.stated.staleness_s
             over = fast * (TALK.delay_s + TALK.bucket_s)
+            since_us = now_us - int(min(split_s, TALK.window_s) * SECOND_US)
+            far = [len(half[key]) - bisect_right(half[key], since_us) for half in fleet.halves]
             for number in set(range(TALK.size)) - skip:
+                under = stale + fast * TALK.bucket_s + far[1 - number % 2]
                 off = fleet.estimate(number, key) - true
                 ratio = off / max(over, 1.0) if off > 0 else -off / max(under, 1.0)
                 outside += ratio > 1.0
@@ -258,27 +266,22 @@
 
 async def cost(size: int, seconds: float) -> tuple[float, float]:
     """CPU (ms) and bytes sent, both a second and an instance, with sockets."""
-    global TALK
-    kept, TALK = TALK, Talk(size, TALK.period_s, TALK.fan_out, TALK.window_s, TALK.bucket_s, 0.0, 0.0)
-    try:
-        fleet = RealFleet(size, 1, lossy=False)
-        for number in range(size):
-            for key in TENANTS:
-                fleet.count(number, key)
-        await asyncio.sleep(0.3)
-        before, sent = time.process_time(), sum(talk.gossip.sent.octets for talk in fleet.talks)
-        await asyncio.sleep(seconds)
-        used = time.process_time() - before
-        octets = sum(talk.gossip.sent.octets for talk in fleet.talks) - sent
-        fleet.stop()
-        return used * 1e3 / size / seconds, octets / size / seconds
-    finally:
-        TALK = kept
+    fleet = RealFleet(replace(TALK, size=size, loss=0.0), 1)
+    for number in range(size):
+        for key in TENANTS:
+            fleet.count(number, key)
+    await asyncio.sleep(0.3)
+    before, sent = time.process_time(), sum(talk.gossip.sent.octets for talk in fleet.talks)
+    await asyncio.sleep(seconds)
+    used = time.process_time() - before
+    octets = sum(talk.gossip.sent.octets for talk in fleet.talks) - sent
+    fleet.stop()
+    return used * 1e3 / size / seconds, octets / size / seconds
 
 
 def virtual_cost(size: int, seconds: float) -> tuple[float, float]:
     """The same without sockets; the kernel's part is not in it."""
-    model = PeersModel(Talk(size, TALK.period_s, TALK.fan_out, TALK.window_s, TALK.bucket_s, 0.0, 0.01))
+    model = PeersModel(replace(TALK, size=size, loss=0.0, delay_s=0.01))
     for number in range(size):
         for key in TENANTS:
             model.count(number, key)
@@ -288,6 +291,26 @@
     return used * 1e3 / size / seconds, model.octets.total() / size / seconds
 
 
+def request_cost() -> tuple[float, float]:
+    """CPU (us) of a request under a limit of one instance, and under one for all: 20 instances in use."""
+    found = []
+    for way in ("share", "counts"):
+        limited = Limited(way, 1)
+        limited.play(3, 400.0, [1.0] * TALK.size)
+        limit, now_us = limited.limits[0], limited.model.local_us(0)
+        rounds = []
+        for _ in range(5):
+            began = time.process_time()
+            for number in range(2_000):
+                permits = admit([limit], "", "c", now_us + number * 1_000)
+                if isinstance(permits, list):
+                    limit.ended(permits[0], now_us + number * 1_000)
+            rounds.append((time.process_time() - began) / 2_000 * 1e6)
+            now_us += 2_000_000
+        found.append(statistics.median(rounds))
+    return found[0], found[1]
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=60.0)
@@ -300,7 +323,7 @@
           f"rate times window, but with {stated.probability:g}; none older than {stated.staleness_s:.2f} s")
 
     async def play() -> Judge:
-        fleet: Fleet = VirtualFleet(TALK.size, seed) if arguments.virtual else RealFleet(TALK.size, seed)
+        fleet: Fleet = VirtualFleet(TALK, seed) if arguments.virtual else RealFleet(TALK, seed)
         try:
             return await within_bound(fleet, seconds, seed, arguments.virtual)
         finally:
@@ -324,6 +347,9 @@
     costs[100] = virtual_cost(100, 3.0)
     table(["instances", "CPU ms a second each", "bytes a second each"],
           [[size, *each] for size, each in costs.items()])
+    alone_us, shared_us = request_cost()
+    table(["a request under a limit, CPU us", "of one instance", "of all", "times"],
+          [["", alone_us, shared_us, shared_us / alone_us]])
     even = through["3,000 a second, even"]["counts"][0]
     uneven = through["3,000 a second, half at one"]["counts"][0]
     may_be = max(1.0, judge.looks * stated.probability)
@@ -339,6 +365,7 @@
         "highest": round(judge.highest, 3),
         "let_through": {name: {way: round(each[0], 1) for way, each in ways.items()}
                         for name, ways in through.items()},
+        "request_us": [round(alone_us, 1), round(shared_us, 1)],
         "cost": {str(size): [round(each[0], 2), round(each[1])] for size, each in costs.items()}}
     return close("shared_counts", figures, bars)
 
--- a/plovertrail/cli/control.py
+++ b/plovertrail/cli/control.py
@@ -89,5 +89,5 @@
             for server in pool["servers"]:
                 click.echo(f"  {server['id']} {server['address']} {server['state']}, {server['open']} open")
         tell_peers(found.get("peers") or {})
-    if any(pool["problems"] for pool in found["pools"].values()):
+    if any(pool["problems"] for pool in found["pools"].values()) or (found.get("peers") or {}).get("problem"):
         sys.exit(3)
--- a/plovertrail/cli/counts.py
+++ b/plovertrail/cli/counts.py
@@ -17,7 +17,7 @@
 
 @counts.command("bound")
 @click.argument("file", type=click.Path(dir_okay=False))
-@click.option("--size", default=0, help="Instances; 0: as many as the file names.")
+@click.option("--size", default=0, help="Instances; 0: as many as the file tells.")
 @click.option("--rate", default=0.0,
               help="Requests a second of one key over the whole fleet, to tell counts.")
 @click.option("--but-with", "probability", default=1e-3, show_default=True,
@@ -29,7 +29,7 @@
     if peers is None:
         click.echo(f"{file}: it has no [peers]: each instance counts alone", err=True)
         sys.exit(1)
-    talk = peers.talk(size or len({*peers.addresses, peers.address}))
+    talk = peers.talk(size or peers.size)
     found = bound(talk, probability)
     half = partition_under(talk.window_s, 0.5, talk)
     click.echo(f"{talk.size} instances; each hears of a key every {talk.round_s:g} s at most, "
--- a/plovertrail/config/operator.py
+++ b/plovertrail/config/operator.py
@@ -241,7 +241,7 @@
             parts |= {key: item for key, item in raw.items() if type(item) is type(parts.get(key))}
             whole = FileTable(**parts)
         limits, instances = self.limits(whole.limits)
-        tenants = self.tenants(whole.tenants)
+        tenants, fleet_tenants = self.tenants(whole.tenants, bool(whole.peers))
         self.weights = tuple((name, float(item.get("weight", 1.0))) for name, item in whole.tenants.items()
                              if isinstance(item, dict) and isinstance(item.get("weight", 1.0), int | float))
         classes, key_headers = self.classes(whole.classes)
@@ -258,8 +258,7 @@
         limited_by = limiters.read_limiters(whole.limiters, whole.tenants, bool(whole.peers), self.problems)
         peers = None
         if whole.peers:
-            peers = read_peers(whole.peers, self.address, self.environment, self.problems)
-        fleet_tenants = self.fleet_tenants(whole)
+            peers = read_peers(whole.peers, self.address, self.environment, instances, self.problems)
         self.limited: dict[str, tuple[str, ...]] = {}
         routes = self.routes(whole.routes, classes, whole)
         if not whole.routes and "routes" in raw:
@@ -304,13 +303,22 @@
         return Limits(size("max_head", 1 << 10, 1 << 20), size("max_body", 0, 64 << 20),
                       size("max_answer", 1 << 10, 64 << 20)), table.instances
 
-    def tenants(self, raw: dict[str, Any]) -> list[Tenant]:
-        found = []
+    def tenants(self, raw: dict[str, Any], talks: bool) -> tuple[list[Tenant], frozenset[int]]:
+        """The tenants, and the numbers of those whose allowance is for all instances."""
+        found: list[Tenant] = []
+        fleet_wide = set()
         for name, item in raw.items():
-            table = read_table(TenantTable, item, key_path("tenants", name), self.problems)
-            if table is not None:
-                found.append(Tenant(name, table.allowance_per_s))
-        return found
+            place = key_path("tenants", name)
+            table = read_table(TenantTable, item, place, self.problems)
+            if table is None:
+                continue
+            if table.scope == "fleet":
+                fleet_wide.add(len(found))
+                if not talks:
+                    self.wrong(f"{place}.scope", "instances don't count together here",
+                               'write [peers], or scope = "instance"')
+            found.append(Tenant(name, table.allowance_per_s))
+        return found, frozenset(fleet_wide)
 
     def classes(self, raw: dict[str, Any]) -> tuple[dict[str, RequestClass], tuple[bytes, ...]]:
         found: dict[str, RequestClass] = {}
@@ -449,16 +457,6 @@
                        "set it to one that this instance alone has, the same at each start")
         return found
 
-    def fleet_tenants(self, whole: FileTable) -> frozenset[int]:
-        """The numbers of the tenants whose allowance is for all instances."""
-        found = [number for number, (name, item) in enumerate(whole.tenants.items())
-                 if isinstance(item, dict) and item.get("scope") == "fleet"]
-        if found and not whole.peers:
-            name = list(whole.tenants)[found[0]]
-            self.wrong(f"{key_path('tenants', name)}.scope", "instances don't count together here",
-                       'write [peers], or scope = "instance"')
-        return frozenset(found)
-
     def fleet(self, raw: object, instances: int, pools: Mapping[str, Pool]) -> FleetSetup:
         """Who this instance is among those that share the servers."""
         table = read_table(FleetTable, raw, "fleet", self.problems) or FleetTable()
--- a/plovertrail/config/peers.py
+++ b/plovertrail/config/peers.py
@@ -13,7 +13,7 @@
 
 from plovertrail.config.problems import Problem
 from plovertrail.config.tables import duration_us, read_table
-from plovertrail.decisions.counts import Window
+from plovertrail.decisions.counts import Counts, Window
 from plovertrail.decisions.counts_bound import Talk, bound
 
 Address = tuple[str, int]
@@ -53,7 +53,8 @@
     name: str
     address: Address
     addresses: tuple[Address, ...]  # of all, as written
-    list_path: str  # the file that lists further ones; empty: none
+    list_path: str  # the file that lists them in place of that; empty: none
+    size: int  # instances, till such a list has been read
     fleet: str
     keys: tuple[bytes, ...]  # the first one signs
     period_us: int
@@ -76,6 +77,11 @@
         """One that was not heard for so long is silent."""
         return int(SILENT_ROUNDS * self.talk(size).round_s * 1e6) + self.delay_us
 
+    def apply_to(self, counts: Counts, size: int) -> None:
+        """Have counts go on under this, in a fleet of so many."""
+        counts.most_keys, counts.alone_share = self.most_keys, self.alone_share
+        counts.size, counts.silent_us = size, self.silent_us(size)
+
 
 def rows_of(window: Window) -> int:
     """Keys that a datagram surely holds, with counts under 16,384 a bucket: 1,000 of its 1,200 bytes are
@@ -84,9 +90,10 @@
 
 
 def read_peers(raw: object, address: Callable[[str, str], Address],
-               environment: Callable[[str, str], str],
+               environment: Callable[[str, str], str], instances: int,
                problems: list[Problem]) -> PeersSetup | None:
-    """`address` and `environment` read one value at a place, and tell what is wrong with it."""
+    """`address` and `environment` read one value at a place, and tell what is wrong with it; `instances` are
+    reckoned with till a list is read."""
     known = len(problems)
     table = read_table(PeersTable, raw, "peers", problems)
     if table is None:
@@ -119,7 +126,8 @@
     keys = _read_keys(table.key_files, wrong)
     if len(problems) > known:
         return None
-    setup = PeersSetup(name, own, listed, table.peers_from, table.fleet, keys, period_us, table.fan_out,
+    size = instances if table.peers_from else len({*listed, own})
+    setup = PeersSetup(name, own, listed, table.peers_from, size, table.fleet, keys, period_us, table.fan_out,
                        window, table.max_keys, table.alone == "share", table.loss, delay_us, table.most_part,
                        table.keys_in_use)
     _check_bound(setup, table, wrong)
@@ -128,9 +136,8 @@
 
 def _check_bound(setup: PeersSetup, table: PeersTable, wrong: Callable[[str, str, str], None]) -> None:
     """Whether the settings can hold what is asked of them."""
-    size = len({*setup.addresses, setup.address})
-    talk = setup.talk(size)
-    silent_us = setup.silent_us(size)
+    talk = setup.talk(setup.size)
+    silent_us = setup.silent_us(setup.size)
     if silent_us > setup.window.span_us:
         wrong("window", f"it holds {setup.window.span_us / 1e6:g} s, and a peer counts as silent only after "
               f"{silent_us / 1e6:g} s without a word", "write a longer window, a shorter period, or a larger "
@@ -164,4 +171,3 @@
                   f"write a key of {LEAST_KEY} to {LONGEST_KEY} bytes, as `openssl rand -hex 32` makes it")
         found.append(data)
     return tuple(found)
-
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -24,7 +24,7 @@
 from plovertrail.decisions import share
 from plovertrail.decisions.fairness import Door
 from plovertrail.decisions.limits import Limiter
-from plovertrail.decisions.membership import Candidate, State
+from plovertrail.decisions.membership import Entry, State
 from plovertrail.fronts.ordinary import OrdinaryFront
 from plovertrail.fronts.relay import SOCKET_BYTES
 from plovertrail.fronts.sockets import SocketKeeper
@@ -33,7 +33,8 @@
 from plovertrail.line_log import LineLog
 from plovertrail.peers.keeper import PeerKeeper
 from plovertrail.roster import FirstRead, Roster
-from plovertrail.sources.files import FileSource, FileWatch, first_read
+from plovertrail.sources.files import FileSource, first_read
+from plovertrail.sources.instances import InstanceList
 from plovertrail.state_keeper import StateKeeper
 from plovertrail.upstreams.connections import AnswerRules, ConnectionPool
 
@@ -236,8 +237,7 @@
         self.control = ControlSocket(self, setup.control_socket)
         self.closing: list[OrdinaryFront] = []  # their addresses are configured no more
         self.fleet = share.Fleet()
-        self.fleet_watch: FileWatch | None = None
-        self.fleet_problem = ""
+        self.fleet_list = InstanceList("instances", self._fleet_listed)
         self.hooks = HookLoader(clock_us)
         self.limiters: dict[str, Limiter] = {}
         self.peers = PeerKeeper(seeds)
@@ -335,37 +335,17 @@
 
     def _follow_fleet(self, setup: operator.FleetSetup) -> None:
         """Count the instances by their list, where there is one; limits.instances holds until it is read."""
-        watch = self.fleet_watch
-        if watch is not None and watch.source.path == setup.list_path:
-            self.fleet = replace(setup.fleet, size=self.fleet.size)
-            return
-        self.fleet, self.fleet_problem = setup.fleet, ""
-        if watch is not None:
-            watch.stop()
-            self.fleet_watch = None
-        if setup.list_path:
-            source = FileSource(setup.list_path, False)
-            self.fleet_watch = FileWatch(source, self._fleet_listed, self._fleet_unread)
-
-    async def _fleet_listed(self, candidate: Candidate) -> None:
-        """The instances are listed anew. Hazard: taken for one instance, an empty list would let each take
-        all that the servers bear."""
-        size = len({entry.id for entry in candidate.entries})
-        if not size:
-            await self._fleet_unread(candidate.source, "it lists no instance")
-            return
-        self.fleet_problem = ""
+        another = self.fleet_list.follow(setup.list_path)
+        counted = bool(setup.list_path) and not another
+        self.fleet = replace(setup.fleet, size=self.fleet.size) if counted else setup.fleet
+
+    def _fleet_listed(self, entries: tuple[Entry, ...]) -> None:
+        size = len({entry.id for entry in entries})
         if size != self.fleet.size:
             self.fleet = replace(self.fleet, size=size)
             log.info("%d instances share the servers", size)
             self._list_changed()
 
-    async def _fleet_unread(self, source: str, why: str) -> None:
-        if why != self.fleet_problem:
-            log.error("the list of instances, %s, can't be used: %s; %d are reckoned with",
-                      source, why, self.fleet.size)
-        self.fleet_problem = why
-
     def _roster(self, name: str) -> Roster:
         state = self.kept.pop(name, None) or State(started=bool(self.generation.number))
         return Roster(name, self.host, state, partial(self._elsewhere, name), self._list_changed)
@@ -492,7 +472,7 @@
                              "zone": member.entry.zone, "weight": member.entry.weight,
                              "open": used.get(member.number, 0)}
                             for ident, member in state.members.items()]}
-        return {"fleet": {"instances": self.fleet.size, "problem": self.fleet_problem},
+        return {"fleet": {"instances": self.fleet.size, "problem": self.fleet_list.problem},
                 "generation": self.generation.number, "file": self.generation.setup.path, "pools": pools,
                 "connections": self.count(), "requests": len(self.host.requests),
                 "sockets": len(self.sockets.relays),
@@ -511,8 +491,7 @@
         self.control.stop()
         for pool in self.pools.values():
             pool.roster.stop()
-        if self.fleet_watch is not None:
-            self.fleet_watch.stop()
+        self.fleet_list.stop()
         self.peers.stop()
         longest_us = max(kind.deadline_us for kind in self.generation.setup.classes)
         for front in fronts:
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -11,7 +11,7 @@
 from collections import deque
 
 from plovertrail.decisions import interface as api
-from plovertrail.decisions.share import list_turn_us
+from plovertrail.decisions.share import list_span_us
 from plovertrail.decisions.weighted import WeightedDraw
 
 MOST_SLOTS = 8  # no upstream gets more from one sidecar, however quick its answers
@@ -59,8 +59,8 @@
 LOG_GAP_US = 1_000_000  # a line a second at most, however many upstreams change
 NEVER_US = 2 ** 62  # later than any clock says
 FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
-LIST_CALL_US = 100_000  # of discovery's time that one call is reckoned to take
-LEAST_WAIT = 0.25  # of the span after a failure: sooner, it would find the same crowd there
+LIST_CALLS_PER_S = 20.0  # in the worst second, that discovery is reckoned to bear where nothing tells
+LONGEST_WAIT = 0.9  # of ask-within, after a call that waited in vain
 
 
 class Pool:
@@ -196,7 +196,8 @@
         self.wanted_us = self.armed_us = NEVER_US  # when something is due next; the next timer asked for
         self.list_failures = 0
         self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
-        self.ask_list_at(now_us + self.list_turn_us())
+        self.asked_list_us = now_us  # when it last was
+        self.ask_list_at(now_us + self.list_turn_us(settings.ask_within_us // 2))
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         self.now_us = now_us
@@ -292,8 +293,8 @@
             worth /= self.mean_us[request.event.class_index]
         if request.event.tenant < len(s.tenants):
             allowed = s.tenants[request.event.tenant].allowance_per_s / self.allowed_per_s
-            seen = self.tenant_seen[request.event.tenant] / sum(self.tenant_seen)
-            seen = request.event.tenant_share or seen
+            seen = (request.event.tenant_share
+                    or self.tenant_seen[request.event.tenant] / sum(self.tenant_seen))
             worth *= s.over_share_worth + (1.0 - s.over_share_worth) * min(1.0, allowed / seen)
         return worth
 
@@ -764,14 +765,10 @@
     def on_list(self, event: api.UpstreamsUpdated) -> None:
         if event.kind is api.ListKind.FAILED:
             self.list_failures += 1
-            # doubles with each failure; over a span for all sidecars, as they fail together. Hazard: what
-            # waits for too long is work for discovery all the same, and calls that come faster than it
-            # answers fail for ever. After a failed call rule 3 allows for four times ask-within
-            longest_us = max(1, 2 * self.settings.ask_within_us)
-            span_us = max(FIRST_RETRY_US, LIST_CALL_US * self.settings.instances)
-            span_us = min(span_us * 2 ** min(self.list_failures - 1, 20), longest_us)
-            after_us = int(span_us * (LEAST_WAIT + (1.0 - LEAST_WAIT) * self.random.random()))
-            self.ask_list_at(self.now_us + max(after_us, min(self.list_turn_us(), longest_us)))
+            # one that was turned away at once was next to no work for discovery; rule 3 goes by the asking
+            waited = self.now_us - self.asked_list_us > FIRST_RETRY_US
+            longest_us = int((LONGEST_WAIT if waited else 0.5) * self.settings.ask_within_us)
+            self.ask_list_at(self.now_us + self.list_turn_us(max(FIRST_RETRY_US, longest_us)))
             return
         if event.kind is not api.ListKind.CACHED:
             self.list_failures = self.ask_list_us = 0
@@ -811,13 +808,15 @@
             if self.warmth(server) < 1.0:  # all sidecars hear of it within moments: no burst of first sends
                 self.pace_cold(server, self.random.random())
 
-    def list_turn_us(self) -> int:
-        """This sidecar's turn, at random, among all that ask for the list at one moment: after a restart of
-        the fleet, or of discovery. Hazard: what discovery can't bear it ends, and all ask again."""
-        if self.settings.list_calls_per_s <= 0.0:
-            span_us = min(LIST_CALL_US * self.settings.instances, self.settings.ask_within_us // 2)
-            return int(span_us * self.random.random())
-        return list_turn_us(self.settings.instances, self.settings.list_calls_per_s, self.random.random())
+    def list_turn_us(self, longest_us: int) -> int:
+        """This sidecar's turn, at random, among all that ask for the list at one moment, as after a restart
+        of the fleet or of discovery; the span doubles with each failure. Hazard: calls that come faster than
+        discovery answers all fail, and those that have waited in vain are work for it all the same."""
+        s = self.settings
+        span_us = list_span_us(s.instances, s.list_calls_per_s or LIST_CALLS_PER_S)
+        if self.list_failures:
+            span_us = max(FIRST_RETRY_US, span_us) * 2 ** min(self.list_failures - 1, 20)
+        return int(min(span_us, longest_us) * self.random.random())
 
     def ask_list_at(self, at_us: int) -> None:
         if self.settings.list_on_request:
@@ -827,6 +826,7 @@
     def ask_list(self) -> None:
         """Asks again if no answer comes: a call that is lost must not leave us without a list (rule 3)."""
         if self.ask_list_us != 0 and self.now_us >= self.ask_list_us:
+            self.asked_list_us = self.now_us
             self.actions.append(api.Subscribe(True))
             self.ask_list_at(self.now_us + max(FIRST_RETRY_US, self.settings.ask_within_us // 2))
 
--- a/plovertrail/decisions/counts.py
+++ b/plovertrail/decisions/counts.py
@@ -12,9 +12,10 @@
 
 import heapq
 from array import array
-from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from math import floor
 
 MOST_PARTS = 512  # instances and earlier incarnations of them, whose windows are not over
 MOST_INCARNATIONS = 8  # of one name, that are remembered
@@ -22,6 +23,8 @@
 PEER_KEYS_TIMES = 16  # all peers together may have so many times the keys that we may have
 DRIFT = 0.001  # by which another's clock may run faster or slower: far more than real ones do
 MOST_COUNT = 2 ** 32 - 1
+SEEN = 256  # datagrams that are remembered of each sender, to tell repeats and losses
+KEPT_PARTS = 16  # of a bucket's time, for one of which a sum over all peers is kept
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,15 +60,13 @@
             self.counts[gone % slots] = 0
         self.newest = max(self.newest, bucket)
 
-    def raise_to(self, bucket: int, count: int) -> int:
-        """Join one bucket: the larger count stays. Returns by how much it grew."""
-        if bucket <= self.newest - len(self.counts):
-            return 0
+    def raise_to(self, bucket: int, count: int) -> None:
+        """Join one bucket: the larger count stays."""
+        if not count or bucket <= self.newest - len(self.counts):
+            return
         self.advance(bucket)
         place = bucket % len(self.counts)
-        grown = max(0, min(count, MOST_COUNT) - self.counts[place])
-        self.counts[place] += grown
-        return grown
+        self.counts[place] = max(self.counts[place], min(count, MOST_COUNT))
 
     def add(self, bucket: int, count: int = 1) -> None:
         self.advance(bucket)
@@ -79,20 +80,16 @@
             if self.counts[bucket % slots]:
                 yield bucket, self.counts[bucket % slots]
 
-    def over(self, oldest: int) -> bool:
-        """Whether nothing is left that is newer than a bucket."""
-        return all(bucket <= oldest for bucket, _ in self.items())
-
     def join(self, other: Row) -> None:
+        """Take the larger of both in each bucket: commutative, associative, idempotent."""
         for bucket, count in other.items():
             self.raise_to(bucket, count)
-        self.advance(other.newest)
 
     def within(self, at: float, buckets: int) -> float:
         """What was counted in the `buckets` before a place in time, itself in buckets; of the one that the
         window's beginning cuts, the part that lies in it. Buckets after that place count as well."""
         begins = at - buckets
-        cut = int(begins // 1)
+        cut = floor(begins)
         whole = 0.0
         for bucket, count in self.items():
             if bucket > cut:
@@ -101,6 +98,22 @@
                 whole += count * (cut + 1 - begins)
         return whole
 
+    def usage(self, at: float, buckets: int) -> tuple[float, float]:
+        """What was counted in the `buckets` before a place, and how much before the bucket that runs."""
+        whole = self.within(at, buckets)
+        runs = self.newest >= floor(at)
+        return whole, max(0.0, whole - self.counts[self.newest % len(self.counts)]) if runs else whole
+
+
+@dataclass(slots=True)
+class Others:
+    """What all peers together have used of a key."""
+
+    until_us: int  # for so long it is taken as it is
+    now: float = 0.0  # in the window that ends now
+    told: float = 0.0  # in those that ended when each was last heard; without the silent ones
+    before: float = 0.0  # the same, without the bucket that ran then
+
 
 @dataclass(slots=True)
 class Part:
@@ -131,27 +144,26 @@
     """The datagrams of one incarnation, to tell repeats and losses."""
 
     highest: int
-    seen: int = 1  # a bit for each of the 64 up to the highest
-    received: int = 1
-    first: int = 0
+    first: int
+    seen: int = 1  # a bit for each of the last ones up to the highest
 
     def fresh(self, sequence: int) -> bool:
         """Whether a datagram is none that has come before."""
         ahead = sequence - self.highest
         if ahead > 0:
-            self.seen = ((self.seen << ahead) | 1) & (2 ** 64 - 1) if ahead < 64 else 1
+            self.seen = (self.seen << min(ahead, SEEN) | 1) & (1 << SEEN) - 1
             self.highest = sequence
-        elif ahead <= -64 or self.seen >> -ahead & 1:
+        elif ahead <= -SEEN or self.seen >> -ahead & 1:
             return False
         else:
             self.seen |= 1 << -ahead
-        self.received += 1
         return True
 
     @property
     def lost(self) -> float:
-        """The share of those sent to us that never came."""
-        return max(0.0, 1.0 - self.received / (self.highest - self.first + 1))
+        """The share of the last ones sent to us that has not come."""
+        sent = min(SEEN, self.highest - self.first + 1)
+        return 1.0 - (self.seen & (1 << sent) - 1).bit_count() / sent
 
 
 class Counts:
@@ -177,7 +189,8 @@
         self.rested: dict[int, int] = {}  # and rounds since then
         self.round = 0
         self.swept_us = now_us
-        self.others: dict[int, tuple[int, float, float]] = {}  # key -> (until, as last heard, as it is now)
+        self.others: dict[int, Others] = {}
+        self.listed: frozenset[int] = frozenset()  # keys that always find a place, as they are few
         # since the start
         self.without_place = 0  # counts of keys that share an entry
         self.refused_keys = 0  # of peers, that found no room
@@ -188,7 +201,7 @@
 
     def add(self, key: int, now_us: int, count: int = 1) -> int:
         """A request of a key has come; returns the key that it counts under."""
-        if key not in self.own and len(self.own) >= self.most_keys:
+        if key not in self.own and len(self.own) >= self.most_keys and key not in self.listed:
             self.sweep(now_us)
             if len(self.own) >= self.most_keys:
                 self.without_place += count
@@ -227,10 +240,8 @@
         """A key's counts as they are sent: the newest bucket, and counts back to the oldest that holds
         any."""
         row = self.own.get(key)
-        if row is None:
-            return None
-        row.advance(self.bucket(now_us))
-        found = dict(row.items())
+        oldest = self.bucket(now_us) - self.window.slots
+        found = {bucket: count for bucket, count in row.items() if bucket > oldest} if row else {}
         if not found:
             return None
         newest = max(found)
@@ -239,16 +250,15 @@
     # What comes in
 
     def take(self, message: Message, now_us: int) -> bool:
-        """Join what another has sent; whether it was no repeat. Hazard: one that was
-        caught and is sent again would bring an earlier incarnation back, so what is remembered of a name is
-        kept longer than its parts; an older one that is not remembered is not taken once that is full."""
-        mine = message.name == self.name and message.incarnation == self.incarnation
-        known = self.heard.setdefault(message.name, {})
-        heard = known.get(message.incarnation)
-        if mine:
+        """Join what another has sent; whether it was no repeat. Hazard: one that was caught and is sent again
+        would bring an earlier incarnation back, so what is remembered of a name is kept longer than its
+        parts; an older one that is not remembered is not taken once that is full."""
+        if (message.name, message.incarnation) == (self.name, self.incarnation):
             self.repeats += 1
             return False
-        self.heard[message.name] = self.heard.pop(message.name)  # those heard last stand at the end
+        # those heard last stand at the end
+        known = self.heard[message.name] = self.heard.pop(message.name, {})
+        heard = known.get(message.incarnation)
         if heard is None:
             if len(known) >= MOST_INCARNATIONS and message.incarnation < min(known):
                 self.too_many += 1
@@ -257,7 +267,7 @@
                 del self.heard[next(iter(self.heard))]
             if len(known) >= MOST_INCARNATIONS:
                 del known[min(known)]
-            known[message.incarnation] = Heard(message.sequence, first=message.sequence)
+            known[message.incarnation] = Heard(message.sequence, message.sequence)
         elif not heard.fresh(message.sequence):
             self.repeats += 1
             return False
@@ -275,9 +285,11 @@
                 self.peer_keys += 1
             # hazard: a bucket from far ahead would push all true ones out
             ahead = message.sent_us // self.window.bucket_us + 1
+            told = Row(self.window.slots)
             for age, count in enumerate(counts):
                 if 0 <= newest - age <= ahead:
-                    row.raise_to(newest - age, count)
+                    told.raise_to(newest - age, count)
+            row.join(told)
         return True
 
     def _part(self, message: Message, now_us: int) -> Part | None:
@@ -315,62 +327,54 @@
 
     def estimate(self, key: int, now_us: int) -> float:
         """The fleet's usage of a key over the window that ends now, as far as it is known here."""
-        return self.own_count(key, now_us) + self._others(key, now_us)[1]
+        return self.own_count(key, now_us) + self._others(key, now_us).now
 
     def own_count(self, key: int, now_us: int) -> float:
         row = self.own.get(key)
         at = (now_us - self.start_us) / self.window.bucket_us
         return row.within(at, self.window.buckets) if row else 0.0
 
-    def part_of(self, key: int, now_us: int) -> float:
-        """What this instance may have of a key's limit: its share of the usage, each peer's taken as it was
-        when last heard, lest all that is not known yet of the others counts as nobody's. Of the whole, silent
-        ones keep their part by number, unless each may have all of it then."""
-        own = max(1.0, self.own_count(key, now_us))
-        whole = own + self._others(key, now_us)[0]
-        return own / whole * self._in_reach(now_us)
-
-    def burst_part(self, key: int, burst: int, now_us: int) -> float:
-        """What this instance may have of a key's burst: its part by number, and of the rest what its steady
-        usage is of the fleet's. Hazard: by usage alone, all would have the whole burst of a key that none has
-        used; by number alone, one that has all of the traffic would refuse what comes a little thick."""
-        row = self.own.get(key)
-        at = (now_us - self.start_us) / self.window.bucket_us
-        newest = row.counts[row.newest % len(row.counts)] if row is not None and row.newest >= int(at) else 0
-        steady = max(0.0, self.own_count(key, now_us) - newest)
-        by_number = 1.0 / max(1, self.size)
-        by_usage = steady / (steady + self._others(key, now_us)[0] + burst)
-        return by_number + (1.0 - by_number) * by_usage * self._in_reach(now_us)
-
-    def _in_reach(self, now_us: int) -> float:
-        """Of what is for all, what this instance and those that it hears may have. Hazard: all start at one
-        moment, and none has heard of another yet."""
-        if not self.alone_share:
-            return 1.0
-        return min(1.0, (1 + self.count_heard(now_us)) / max(1, self.size))
+    def parts_of(self, key: int, burst: float, now_us: int) -> tuple[float, float]:
+        """What this instance may have of a key's limit, of its rate and of its burst.
+
+        Of the rate: its share of the usage, each peer's taken as it was when last heard, lest all that is
+        not known yet of the others counts as nobody's. Of the burst: by number, as if each had used one, and
+        the more by usage the more there was of it before the bucket that runs. Hazard: by usage alone, all
+        would have the whole burst of a key that none has used; by number alone, one that has all of the
+        traffic would refuse what comes a bit thick. All parts add up to one. Silent instances keep theirs by
+        number, unless each may have all of it then. Hazard: all start at one moment, and none has heard of
+        another yet."""
+        at, row, size = (now_us - self.start_us) / self.window.bucket_us, self.own.get(key), max(1, self.size)
+        own, own_before = row.usage(at, self.window.buckets) if row is not None else (0.0, 0.0)
+        others = self._others(key, now_us)
+        in_reach = min(1.0, (1 + self.count_heard(now_us)) / size) if self.alone_share else 1.0
+        own = max(1.0, own)
+        of_burst = (burst + own_before * in_reach) / (own_before + others.before + burst * size)
+        return own / (own + others.told) * in_reach, of_burst
 
     def count_heard(self, now_us: int) -> int:
         """Other instances that are not silent."""
         return sum(now_us - part.heard_us < self.silent_us for part in self.parts.values())
 
-    def _others(self, key: int, now_us: int) -> tuple[float, float]:
-        """Of all peers: as last heard, and in the window that ends now. Kept for a while, as all of them are
-        gone through for it."""
+    def _others(self, key: int, now_us: int) -> Others:
+        """What all peers have used of a key. Kept for a while, as all of them are gone through for it."""
         found = self.others.get(key)
-        if found is not None and now_us < found[0]:
-            return found[1], found[2]
-        told = current = 0.0
+        if found is not None and now_us < found.until_us:
+            return found
         bucket_us, buckets = self.window.bucket_us, self.window.buckets
+        found = Others(now_us + bucket_us // KEPT_PARTS)
         for part in self.parts.values():
             row = part.rows.get(key)
             if row is not None:
-                current += row.within((now_us - part.offset_us) / bucket_us, buckets)
+                found.now += row.within((now_us - part.offset_us) / bucket_us, buckets)
                 if now_us - part.heard_us < self.silent_us:
-                    told += row.within(part.sent_us / bucket_us, buckets)
+                    told, before = row.usage(part.sent_us / bucket_us, buckets)
+                    found.told += told
+                    found.before += before
         if len(self.others) > 2 * self.most_keys:
             self.others.clear()
-        self.others[key] = now_us + bucket_us // 16, told, current
-        return told, current
+        self.others[key] = found
+        return found
 
     def sweep(self, now_us: int, at_once: bool = False) -> None:
         """Forget what no window holds any more; at most once in a bucket's time, as it goes through all."""
@@ -378,7 +382,7 @@
             return
         self.swept_us = now_us
         oldest = self.bucket(now_us) - self.window.slots
-        for key in [key for key, row in self.own.items() if row.over(oldest)]:
+        for key in [key for key, row in self.own.items() if row.newest <= oldest]:
             del self.own[key]
             self.changed.pop(key, None)
             self.rested.pop(key, None)
@@ -388,10 +392,10 @@
                 self.peer_keys -= len(part.rows)
                 continue
             oldest = int((now_us - part.offset_us) // self.window.bucket_us) - self.window.slots
-            for key in [key for key, row in part.rows.items() if row.over(oldest)]:
+            for key in [key for key, row in part.rows.items() if row.newest <= oldest]:
                 del part.rows[key]
                 self.peer_keys -= 1
-        self.others = {key: found for key, found in self.others.items() if now_us < found[0]}
+        self.others = {key: found for key, found in self.others.items() if now_us < found.until_us}
         self.twins = {name: at_us for name, at_us in self.twins.items()
                       if now_us - at_us < self.window.span_us + self.silent_us}
 
@@ -408,6 +412,8 @@
     def __init__(self, counts: Counts, names: Sequence[str], fleet_wide: frozenset[int]) -> None:
         self.counts = counts
         self.keys = [key_of("tenant", name) for name in names]
+        # hazard: names made up on every request would push the listed tenants out of the table
+        counts.listed = frozenset(self.keys)
         self.fleet_wide = fleet_wide
         self.whole = 0.0
         self.known_us = -1  # until when the sum holds
@@ -423,17 +429,5 @@
             return 0.0
         if now_us > self.known_us:
             self.whole = sum(self.counts.estimate(key, now_us) for key in self.keys)
-            self.known_us = now_us + self.counts.window.bucket_us // 16
+            self.known_us = now_us + self.counts.window.bucket_us // KEPT_PARTS
         return min(1.0, self.counts.estimate(self.keys[tenant], now_us) / self.whole) if self.whole else 0.0
-
-
-def join_states(one: Mapping[tuple[str, int, int], Row], other: Mapping[tuple[str, int, int], Row],
-                copy: Callable[[Row], Row]) -> dict[tuple[str, int, int], Row]:
-    """The join of two whole states, by (name, incarnation, key)."""
-    joined = {ident: copy(row) for ident, row in one.items()}
-    for ident, row in other.items():
-        if ident in joined:
-            joined[ident].join(row)
-        else:
-            joined[ident] = copy(row)
-    return joined
--- a/plovertrail/decisions/limits.py
+++ b/plovertrail/decisions/limits.py
@@ -12,7 +12,7 @@
 import enum
 import math
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from itertools import islice
 from typing import TYPE_CHECKING
 
@@ -41,7 +41,7 @@
     """What one key has. 0 = no such limit."""
 
     rate_per_s: float = 0.0
-    burst: int = 1  # requests that may come at once, at that rate on average
+    burst: float = 1  # requests that may come at once, at that rate on average; broken where it is a part
     at_once: int = 0
 
 
@@ -131,20 +131,18 @@
     def allowance_of(self, tenant: str) -> Allowance:
         return self.tenants.get(tenant, self.settings.allowance)
 
-    def part_of(self, whole: Allowance, entry: Entry, tenant: str, client: str) -> Allowance:
-        """What this instance may let in of a limit: all of it, or of one for all instances the part that its
-        usage is of theirs."""
-        if self.counts is None or not whole.rate_per_s:
+    def part_of(self, counts: Counts, whole: Allowance, entry: Entry, tenant: str, client: str) -> Allowance:
+        """What this instance may let in of a limit for all of them."""
+        if not whole.rate_per_s:
             return whole
-        key = self.counts.add(self.shared_key(tenant, client), self.now_us)
-        part = self.counts.part_of(key, self.now_us)
-        burst = max(1, int(whole.burst * self.counts.burst_part(key, whole.burst, self.now_us)))
+        key = counts.add(self.shared_key(tenant, client), self.now_us)
+        part, of_burst = counts.parts_of(key, whole.burst, self.now_us)
         # hazard: what was let in counts in gaps as they were; with wider ones the burst would be there again
         gap_us = 1e6 / (whole.rate_per_s * part)
         if entry.gap_us and entry.free_us > self.now_us:
             entry.free_us = self.now_us + (entry.free_us - self.now_us) * gap_us / entry.gap_us
         entry.gap_us = gap_us
-        return Allowance(whole.rate_per_s * part, burst, whole.at_once)
+        return Allowance(whole.rate_per_s * part, max(1.0, whole.burst * of_burst), whole.at_once)
 
     def shared_key(self, tenant: str, client: str) -> int:
         """A request's key as all instances have it."""
@@ -185,9 +183,11 @@
         self.let_in += 1
         return Permit(self, entry, self.now_us)
 
-    def refuse(self, entry: Entry, allowance: Allowance, wait_us: int, by_rate: bool) -> OverLimit:
-        """A request is over the limit. Hazard: told the same time, all that are refused would come back
-        together, and all but one in vain: each is told the place behind the one that was told last."""
+    def refuse(self, entry: Entry, allowance: Allowance, whole: Allowance, wait_us: int,
+               by_rate: bool) -> OverLimit:
+        """A request is over what this instance may let in of the whole. Hazard: told the same time, all that
+        are refused would come back together, and all but one in vain: each is told the place behind the one
+        that was told last."""
         if by_rate:
             self.over_rate += 1
             step_us = 1e6 / allowance.rate_per_s
@@ -201,7 +201,7 @@
             after_us = told_us - self.now_us
         else:  # no place is left in that time: spread over its end
             after_us = longest_us * (1.0 - RETURN_SPREAD * self.rng())
-        return OverLimit(self.settings, allowance, by_rate, int(after_us))
+        return OverLimit(self.settings, whole, by_rate, int(after_us))
 
     def ended(self, permit: Permit, now_us: int) -> None:
         """A request that was let in is over: answered, and none of its attempts out."""
@@ -256,16 +256,16 @@
     worst: tuple[int, bool, Limiter, Entry, Allowance] | None = None
     for limiter in limiters:
         limiter._advance(now_us)
-        entry = limiter.entry_of(tenant, client)
-        allowance = limiter.part_of(limiter.allowance_of(tenant), entry, tenant, client)
+        allowance, entry = limiter.allowance_of(tenant), limiter.entry_of(tenant, client)
+        if limiter.counts is not None:
+            allowance = limiter.part_of(limiter.counts, allowance, entry, tenant, client)
         wait_us, by_rate = limiter.wait_us(entry, allowance)
         asked.append((limiter, entry, allowance))
         if wait_us and (worst is None or wait_us > worst[0]):
             worst = wait_us, by_rate, limiter, entry, allowance
     if worst is not None:
         wait_us, by_rate, limiter, entry, allowance = worst
-        over = limiter.refuse(entry, allowance, wait_us, by_rate)
-        return replace(over, allowance=limiter.allowance_of(tenant))  # the whole is what the limit is called
+        return limiter.refuse(entry, allowance, limiter.allowance_of(tenant), wait_us, by_rate)
     return [limiter.take(entry, allowance) for limiter, entry, allowance in asked]
 
 
--- a/plovertrail/decisions/share.py
+++ b/plovertrail/decisions/share.py
@@ -91,9 +91,9 @@
     return Budget(connections, each, keep, gap_us)
 
 
-def list_turn_us(instances: int, calls_per_s: float, part: float) -> int:
-    """This instance's turn to ask for the list, when all do; `part` is a random number from 0 to 1."""
-    return int(1e6 * part * instances / usable_mean(calls_per_s, 1))
+def list_span_us(instances: int, calls_per_s: float) -> int:
+    """Over which instances take turns at random to ask for the list, when all do."""
+    return int(1e6 * instances / usable_mean(calls_per_s, 1))
 
 
 def overdrawn(fleet: Fleet, bounds: Bounds, servers: int) -> str:
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -427,15 +427,13 @@
                                           earlier_attempts=standing.attempts,
                                           attempts_left=attempts_left(standing, serving, number, most),
                                           barred=barred, preferred=pool.preferred(call),
-                                          tenant_share=self._tenant_share(call))
+                                          tenant_share=0.0 if self.tenant_use is None else
+                                          self.tenant_use.share(call.tenant, clock_us()))
         if pool.door is None:
             self._let_through(pool, request.ident)
         else:
             self._to_door(pool, pool.door, request)
 
-    def _tenant_share(self, call: Call) -> float:
-        return self.tenant_use.share(call.tenant, clock_us()) if self.tenant_use is not None else 0.0
-
     # Doors
 
     def _to_door(self, pool: ServerPool, door: Door, request: Request) -> None:
--- a/plovertrail/peers/gossip.py
+++ b/plovertrail/peers/gossip.py
@@ -5,7 +5,7 @@
 import random
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from plovertrail.decisions.counts import Counts
 from plovertrail.decisions.counts_bound import Bound, Talk, bound
@@ -14,6 +14,7 @@
 Address = tuple[str, int]
 MOST_A_PERIOD = 8  # datagrams of one peer that are looked at; it sends one at most by itself
 MOST_ROWS_OUT = 120  # more never fit
+MOST_LOSS = 0.95  # that a bound is told for: beyond it a peer is silent
 
 
 def told(address: Address) -> str:
@@ -61,6 +62,7 @@
         self.period = 0
         self.keys: list[int] = []  # that go out in this round
         self.rows_fit = 0  # of them, in the datagrams of this round so far
+        self.room = 0  # keys that fitted when last not all did; 0 = all do
         self.sent = Sent()
 
     def listed(self, addresses: Sequence[Address], fan_out: int) -> None:
@@ -80,7 +82,7 @@
         if not self.order:
             return []
         if self.place == 0:
-            self.keys = self.counts.urgent(MOST_ROWS_OUT, self.rows_fit or MOST_ROWS_OUT)
+            self.keys = self.counts.urgent(MOST_ROWS_OUT, self.room or MOST_ROWS_OUT)
             self.rows_fit = len(self.keys)
         rows: list[bytes] = []  # an empty one where a key has nothing to tell any more
         left = self.codec.room(self.counts.name)
@@ -105,6 +107,7 @@
         if self.place >= len(self.order):
             self.place = 0
             self.counts.went(self.keys[:self.rows_fit])
+            self.room = self.rows_fit if self.rows_fit < len(self.keys) else 0
         return out
 
     def received(self, data: bytes, address: Address, now_us: int) -> Dropped | None:
@@ -143,7 +146,6 @@
     def bound(self, talk: Talk) -> Bound:
         """The bound as it is now: with the losses seen, if they are worse than those stated."""
         seen = max((self.loss_from(peer) for peer in self.peers.values() if peer.heard_us), default=0.0)
-        return bound(Talk(self.counts.size, talk.period_s, talk.fan_out, talk.window_s, talk.bucket_s,
-                          min(0.95, max(talk.loss, seen)), talk.delay_s,
-                          max(len(self.counts.own), 1), max(1, self.rows_fit or talk.keys_a_datagram),
-                          talk.most_part))
+        keys = max(1, len(self.counts.own))
+        return bound(replace(talk, size=self.counts.size, loss=min(MOST_LOSS, max(talk.loss, seen)),
+                             keys=keys, keys_a_datagram=self.room or keys))
--- a/plovertrail/peers/keeper.py
+++ b/plovertrail/peers/keeper.py
@@ -68,7 +68,12 @@
 
         names = {key_of("tenant", tenant.name): f"tenant {tenant.name}" for tenant in setup.tenants}
         for name, limiter in limiters.items():
-            if limiter.counts is not None and limiter.settings.keyed_by in (KeyedBy.TENANT, KeyedBy.ALL):
+            if limiter.counts is None:
+                continue
+            if limiter.settings.keyed_by is KeyedBy.ALL:
+                names[limiter.shared_key("", "")] = f"limiter {name}"
+            elif limiter.settings.keyed_by is KeyedBy.TENANT:
+                names[limiter.shared_key("", "")] = f"limiter {name} (others)"
                 names |= {limiter.shared_key(tenant.name, ""): f"limiter {name} {tenant.name}"
                           for tenant in setup.tenants}
         return self.talk.status(names)
--- a/plovertrail/peers/talk.py
+++ b/plovertrail/peers/talk.py
@@ -8,22 +8,20 @@
 import random
 import socket
 import time
-from collections.abc import Sequence
 from typing import Any
 
 from plovertrail.clock import clock_us
-from plovertrail.config.peers import PeersSetup
+from plovertrail.config.peers import MOST_PEERS, PeersSetup
 from plovertrail.decisions.counts import Counts
-from plovertrail.decisions.membership import Candidate
+from plovertrail.decisions.membership import Entry
 from plovertrail.peers.gossip import Address, Gossip, told
 from plovertrail.peers.wire import LARGEST, Codec, Dropped
-from plovertrail.sources.files import FileSource, FileWatch
+from plovertrail.sources.instances import InstanceList
 
 log = logging.getLogger(__name__)
 
 READ_AT_ONCE = 64  # datagrams in one turn of the loop; the others wait in the socket's buffer
 LOG_GAP_S = 10.0  # between two lines of one kind
-TOO_MANY_TOLD = 200
 
 
 class BoundedLog:
@@ -57,8 +55,7 @@
 def new_counts(setup: PeersSetup) -> Counts:
     """Counts that begin now. The incarnation is the wall clock's time, so that it grows from start to start;
     where that clock has stepped back it is another one all the same, and nothing else goes by it."""
-    return Counts(setup.name, time.time_ns() // 1_000, setup.window, clock_us(), most_keys=setup.most_keys,
-                  alone_share=setup.alone_share)
+    return Counts(setup.name, time.time_ns() // 1_000, setup.window, clock_us())
 
 
 class PeerTalk:
@@ -73,12 +70,11 @@
         self.gossip = Gossip(self.counts, codec, setup.address, random.Random(seed))
         self.lines = BoundedLog()
         self.listed: tuple[Address, ...] = ()  # by the file
-        self.problem = ""
+        self.list = InstanceList("peers", self._peers_listed)
+        self.list.follow(setup.list_path)
         self.unsent = 0
-        self.watch: FileWatch | None = None
         self.twins: set[str] = set()
         self._list()
-        self._follow_list()
         self.loop.add_reader(sock, self._readable)
         self.next = self.loop.time()
         self.timer = self.loop.call_soon(self._tick)
@@ -91,54 +87,30 @@
     def configure(self, setup: PeersSetup) -> None:
         """Go on with other peers, keys or times; what has been counted stays. Hazard: a key that is changed
         in one step would cut the fleet in two till all have it; so the old one stays listed meanwhile."""
-        before, self.setup = self.setup, setup
+        self.setup = setup
         self.gossip.codec = Codec(setup.fleet, setup.keys, setup.window)
-        self.counts.most_keys, self.counts.alone_share = setup.most_keys, setup.alone_share
-        if setup.list_path != before.list_path:
-            self.listed, self.problem = (), ""
-            self._follow_list()
+        if self.list.follow(setup.list_path):
+            self.listed = ()
         self._list()
 
     def stop(self) -> None:
         self.loop.remove_reader(self.sock)
         self.timer.cancel()
-        if self.watch is not None:
-            self.watch.stop()
+        self.list.stop()
         self.sock.close()
 
     # Who they are
 
-    def _follow_list(self) -> None:
-        if self.watch is not None:
-            self.watch.stop()
-            self.watch = None
-        if self.setup.list_path:
-            source = FileSource(self.setup.list_path, False)
-            self.watch = FileWatch(source, self._peers_listed, self._peers_unread)
-
-    async def _peers_listed(self, candidate: Candidate) -> None:
-        """Hazard: taken as it is, an empty list would make this instance the only one, with all of a
-        limit."""
-        if not candidate.entries:
-            await self._peers_unread(candidate.source, "it lists no instance")
-            return
-        self.problem = ""
-        self.listed = tuple(entry.address for entry in candidate.entries)
-        if len(self.listed) > TOO_MANY_TOLD:
-            self.listed = self.listed[:TOO_MANY_TOLD]
-            self.lines.tell("many", f"{candidate.source} lists {len(candidate.entries)}; "
-                            f"the first {TOO_MANY_TOLD} are talked to")
+    def _peers_listed(self, entries: tuple[Entry, ...]) -> None:
+        self.listed = tuple(entry.address for entry in entries)[:MOST_PEERS]
+        if len(entries) > MOST_PEERS:
+            log.error("peers: %d are listed; the first %d are talked to", len(entries), MOST_PEERS)
         self._list()
 
-    async def _peers_unread(self, source: str, why: str) -> None:
-        if why != self.problem:
-            log.error("the list of peers, %s, can't be used: %s; the last one stays", source, why)
-        self.problem = why
-
     def _list(self) -> None:
-        addresses: Sequence[Address] = (*self.setup.addresses, *self.listed)
-        self.gossip.listed(addresses, self.setup.fan_out)
-        self.counts.silent_us = self.setup.silent_us(self.counts.size)
+        self.gossip.listed((*self.setup.addresses, *self.listed), self.setup.fan_out)
+        unread = self.setup.list_path and not self.list.read
+        self.setup.apply_to(self.counts, self.setup.size if unread else self.counts.size)
 
     # What goes out and comes in
 
@@ -181,7 +153,7 @@
         now_us, counts, gossip = clock_us(), self.counts, self.gossip
         found = gossip.bound(self.setup.talk(counts.size))
         return {
-            "name": counts.name, "incarnation": counts.incarnation, "problem": self.problem,
+            "name": counts.name, "incarnation": counts.incarnation, "problem": self.list.problem,
             "size": counts.size, "heard": counts.count_heard(now_us),
             "bound": {"under": round(found.under, 4), "over": round(found.over, 4),
                       "staleness_s": round(found.staleness_s, 3), "but_with": found.probability},
--- a/plovertrail/peers/wire.py
+++ b/plovertrail/peers/wire.py
@@ -17,16 +17,15 @@
 import struct
 from collections.abc import Iterable, Sequence
 
+from plovertrail.config.peers import LONGEST_NAME
 from plovertrail.decisions.counts import Message, Window
 
 LARGEST = 1_200  # bytes: what no path of today breaks up
 VERSION = 1
-LEAST_KEY = 16  # bytes of a shared key
 HEAD = struct.Struct(">2sB8s4s8sQQQIHB")
 COUNT = struct.Struct(">H")
 KEY = struct.Struct(">Q")
 MAC = 16
-LONGEST_NAME = 64
 MOST_ROWS = 200
 
 
--- a/plovertrail/rehearsal/daemon.py
+++ b/plovertrail/rehearsal/daemon.py
@@ -172,14 +172,12 @@
 
     def _counts(self, setup: PeersSetup | None, sock: socket.socket | None) -> Counts | None:
         """What the daemon would count with its peers; they are played."""
-        before, self.counts = self.counts, None
+        counts, self.counts = self.counts, None
         if setup is not None:
-            known = before is not None and (before.name, before.window) == (setup.name, setup.window)
-            self.counts = before if known else Counts(setup.name, 1, setup.window, clock_us())
-            assert self.counts is not None
-            self.counts.most_keys, self.counts.alone_share = setup.most_keys, setup.alone_share
-            self.counts.size = len({*setup.addresses, setup.address})
-            self.counts.silent_us = setup.silent_us(self.counts.size)
+            if counts is None or (counts.name, counts.window) != (setup.name, setup.window):
+                counts = Counts(setup.name, 1, setup.window, clock_us())
+            setup.apply_to(counts, setup.size)
+            self.counts = counts
         return self.counts
 
     def _open(self, front: OrdinaryFront, sock: socket.socket) -> None:
@@ -288,6 +286,6 @@
             problem = Problem("peers.peers_from", told, "a rehearsal reads it now")
             raise ConfigError(setup.path, [problem])
         addresses = tuple(entry.address for entry in listed.entries)
-        peers = replace(peers, addresses=addresses, list_path="")
+        peers = replace(peers, addresses=addresses, list_path="", size=len({*addresses, peers.address}))
     return replace(setup, pools=pools, fleet=fleet, peers=peers, state_file="", control_socket="",
                    socket_log="")
--- a/plovertrail/rehearsal/peers.py
+++ b/plovertrail/rehearsal/peers.py
@@ -3,33 +3,29 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 from plovertrail.clock import clock_us
 from plovertrail.config.peers import PeersSetup
 from plovertrail.decisions.counts import Counts, Message, key_of
-from plovertrail.decisions.limits import Limiter
+from plovertrail.rehearsal.daemon import PlayedDaemon
 from plovertrail.rehearsal.written import Others
 
-Limiters = Callable[[], dict[str, Limiter]]
-
 
 class PlayedPeer:
     """One other instance: asked for its part of a rate, at even steps, and heard once a round, as late as the
     settings allow for."""
 
-    def __init__(self, name: str, others: Others, setup: PeersSetup, daemon: Counts, limiters: Limiters,
+    def __init__(self, name: str, others: Others, setup: PeersSetup, daemon: PlayedDaemon,
                  zero_us: int) -> None:
         self.others = others
         self.setup = setup
         self.daemon = daemon
-        self.limiters = limiters
         self.zero_us = zero_us
         self.counts = Counts(name, 1, setup.window, clock_us(), most_keys=64)
         self.sequence = 0
         self.asked = 0  # so far
         self.loop = asyncio.get_running_loop()
-        self.round_us = int(setup.talk(daemon.size).round_s * 1e6)
+        self.round_us = int(setup.talk(setup.size).round_s * 1e6)
         self.loop.call_at((zero_us + others.at_us) / 1e6, self.speak)
 
     def key(self) -> int | None:
@@ -37,7 +33,7 @@
         others = self.others
         if not others.limiter:
             return key_of("tenant", others.tenant)
-        limiter = self.limiters().get(others.limiter)
+        limiter = self.daemon.limiters.get(others.limiter)
         return limiter.shared_key(others.tenant, others.client) if limiter is not None else None
 
     def speak(self) -> None:
@@ -56,11 +52,14 @@
             self.loop.call_later(self.round_us / 1e6, self.speak)
 
     def heard(self, message: Message) -> None:
-        self.daemon.take(message, clock_us())
+        """As after a reload: one with another window is not understood, and one with none has no ear."""
+        counts = self.daemon.counts
+        if counts is not None and counts.window == self.setup.window:
+            counts.take(message, clock_us())
 
 
-def begin(rows: tuple[Others, ...], setup: PeersSetup, daemon: Counts, limiters: Limiters,
-          zero_us: int) -> list[PlayedPeer]:
+def begin(rows: tuple[Others, ...], setup: PeersSetup, daemon: PlayedDaemon, zero_us: int) -> None:
     """The other instances of a scenario; those of one row are called after it."""
-    return [PlayedPeer(f"peers[{number}].{each}", others, setup, daemon, limiters, zero_us)
-            for number, others in enumerate(rows) for each in range(others.instances)]
+    for number, others in enumerate(rows):
+        for each in range(others.instances):
+            PlayedPeer(f"peers[{number}].{each}", others, setup, daemon, zero_us)
--- a/plovertrail/rehearsal/play.py
+++ b/plovertrail/rehearsal/play.py
@@ -13,6 +13,7 @@
 from plovertrail.decisions.membership import Entry
 from plovertrail.rehearsal.daemon import Asked, PlayedClient, PlayedDaemon
 from plovertrail.rehearsal.loop import VirtualLoop
+from plovertrail.rehearsal.peers import begin
 from plovertrail.rehearsal.servers import Behaviour
 from plovertrail.rehearsal.written import Event, Load, Scenario
 
@@ -88,11 +89,8 @@
 
     async def play(self) -> Played:
         loop, played = asyncio.get_running_loop(), self.played
-        if self.daemon.counts is not None and played.setup.peers is not None:
-            from plovertrail.rehearsal.peers import begin
-
-            begin(self.scenario.peers, played.setup.peers, self.daemon.counts, lambda: self.daemon.limiters,
-                  played.zero_us)
+        if played.setup.peers is not None:
+            begin(self.scenario.peers, played.setup.peers, self.daemon, played.zero_us)
         for event in self.scenario.events:
             loop.call_at((played.zero_us + event.at_us) / 1e6, self.happens, event)
         last_us = max([event.at_us for event in self.scenario.events], default=0)
@@ -160,7 +158,6 @@
                 self.daemon.change_servers(event.pool, lambda listed: (*listed, back))
         self.played.moved.append(Moved(now_us, event.pool, event.server, event.move))
 
-
     def lists(self, event: Event, wanted: frozenset[str], now_us: int) -> None:
         """A pool's source has another list."""
         roster = self.daemon.pools[event.pool].roster
--- /dev/null
+++ b/plovertrail/sources/instances.py
@@ -0,0 +1,51 @@
+"""A list of instances in a watched file."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from plovertrail.decisions.membership import Candidate, Entry
+from plovertrail.sources.files import FileSource, FileWatch
+
+log = logging.getLogger(__name__)
+
+
+class InstanceList:
+    """Tells of each new list. One that can't be used, or names nobody, leaves what is known. Hazard: taken as
+    it is, an empty one would make each instance the only one, with all that is to be shared out."""
+
+    def __init__(self, of_what: str, listed: Callable[[tuple[Entry, ...]], None]) -> None:
+        self.of_what = of_what
+        self.listed = listed
+        self.read = False  # a list of this file has been told
+        self.problem = ""
+        self.watch: FileWatch | None = None
+
+    def follow(self, path: str) -> bool:
+        """Watch this file from now on, none if empty; whether it is another one than before."""
+        if path == (self.watch.source.path if self.watch is not None else ""):
+            return False
+        self.stop()
+        self.read, self.problem = False, ""
+        if path:
+            self.watch = FileWatch(FileSource(path, False), self._taken, self._refused)
+        return True
+
+    def stop(self) -> None:
+        if self.watch is not None:
+            self.watch.stop()
+            self.watch = None
+
+    async def _taken(self, candidate: Candidate) -> None:
+        if not candidate.entries:
+            await self._refused(candidate.source, "it lists no instance")
+            return
+        self.read, self.problem = True, ""
+        self.listed(candidate.entries)
+
+    async def _refused(self, source: str, why: str) -> None:
+        if why != self.problem:
+            log.error("the list of %s, %s, can't be used: %s; what is known of them stays",
+                      self.of_what, source, why)
+        self.problem = why
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -48,6 +48,16 @@
 class = "read"
 pools = [{pools}]
 """
+LIMITED = """
+[[routes]]
+name = "all"
+class = "buy"
+pools = ["main"]
+tenant = "header:X-Tenant"
+client = "{client}"
+limiters = ["it"]
+"""
+
 
 
 def run(test: Callable[[], Awaitable[None]]) -> None:
--- a/tests/decisions/fleet.py
+++ b/tests/decisions/fleet.py
@@ -31,7 +31,6 @@
 from tests.decisions.world import START_US, settings
 
 SECOND_US = 1_000_000
-GRACE_US = 2 * SECOND_US  # rule 3
 WORK_US = 20_000  # a request's, on a warm upstream
 LONGEST_WAIT_US = 200_000
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
@@ -45,7 +44,6 @@
     table: int  # connections that it takes
     free_us: int = 0
     silent: bool = False
-    left_us: int | None = None  # since when its leave is told
     connections: int = 0
     sent: list[int] = field(default_factory=list)
 
@@ -62,6 +60,7 @@
         self.balancers = [Balancer(self.settings, number, START_US) for number in range(sidecars)]
         self.servers = {number: Server(Upstream(number, zone=number % 3), table)
                         for number in range(1, servers + 1)}
+        self.left: dict[tuple[int, int], bool] = {}  # (sidecar, upstream): word of its leave has come
         self.idle: Counter[tuple[int, int]] = Counter()  # (sidecar, upstream)
         self.due: list[tuple[int, int, int, Event]] = []
         self.order = 0
@@ -83,13 +82,14 @@
         """All are told of it, each at a time of its own within `late_us`."""
         if entry.state is UpstreamState.READY:
             self.servers[entry.id] = Server(entry, next(iter(self.servers.values())).table)
-        else:
-            self.servers[entry.id].left_us = self.now_us + late_us
         for number in range(len(self.balancers)):
             told_us = self.now_us + int(self.random.random() * late_us)
             self.at(told_us, number, UpstreamsUpdated(ListKind.DELTA, [entry]))
 
     def tell(self, sidecar: int, event: Event) -> None:
+        if isinstance(event, UpstreamsUpdated):
+            for entry in event.upstreams:
+                self.left[sidecar, entry.id] = entry.state is not UpstreamState.READY
         if isinstance(event, AttemptEnded):
             self.outcomes[event.outcome] += 1
             if event.outcome is Outcome.OK:
@@ -120,7 +120,7 @@
     def send(self, sidecar: int, send: Send) -> None:
         server, now_us = self.servers[send.upstream], self.now_us
         assert send.request in self.owed, "rule 1: a send after the end"
-        assert server.left_us is None or now_us <= server.left_us + GRACE_US, "rule 3: sent after its leave"
+        assert not self.left[sidecar, send.upstream], "rule 3: sent after word of its leave"
         nth = self.tries[send.request] = self.tries.get(send.request, -1) + 1
         index = self.owed[send.request][1].class_index
         if self.settings.classes[index].effect == "at_most_once":
--- a/tests/decisions/test_counts.py
+++ b/tests/decisions/test_counts.py
@@ -12,23 +12,20 @@
     MOST_INCARNATIONS,
     MOST_PARTS,
     OVERFLOW_KEYS,
+    SEEN,
     Counts,
     Heard,
     Message,
     Row,
     TenantUse,
     Window,
-    join_states,
     key_of,
 )
 
 SECOND = 1_000_000
 WINDOW = Window(4 * SECOND, 8)
-State = dict[tuple[str, int, int], Row]
 
 buckets = st.dictionaries(st.integers(0, 30), st.integers(0, 1_000), max_size=12)
-states = st.dictionaries(st.tuples(st.sampled_from("ab"), st.integers(1, 2), st.integers(1, 3)), buckets,
-                         max_size=8)
 
 
 def row_of(counts: dict[int, int]) -> Row:
@@ -38,31 +35,52 @@
     return row
 
 
-def copy(row: Row) -> Row:
+def joined(*rows: Row) -> Row:
     made = Row(WINDOW.slots)
-    made.join(row)
+    for row in rows:
+        made.join(row)
     return made
 
 
-def state_of(raw: dict[tuple[str, int, int], dict[int, int]]) -> State:
-    return {ident: row_of(counts) for ident, counts in raw.items()}
+def plain(row: Row) -> tuple[int, list[tuple[int, int]]]:
+    return row.newest, list(row.items())
 
 
-def plain(state: State) -> dict[tuple[str, int, int], tuple[int, list[tuple[int, int]]]]:
-    return {ident: (row.newest, list(row.items())) for ident, row in state.items()}
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(buckets, buckets, buckets)
+def test_the_join_is_commutative_associative_and_idempotent(
+    one: dict[int, int], other: dict[int, int], third: dict[int, int]
+) -> None:
+    a, b, c = row_of(one), row_of(other), row_of(third)
+    assert plain(joined(a, b)) == plain(joined(b, a))
+    assert plain(joined(joined(a, b), c)) == plain(joined(a, joined(b, c)))
+    assert plain(joined(a, a)) == plain(a) == plain(joined(a, Row(WINDOW.slots)))
 
 
 @settings(max_examples=100, deadline=None, derandomize=True)
-@given(states, states, states)
-def test_the_join_is_commutative_associative_and_idempotent(
-    one: dict[tuple[str, int, int], dict[int, int]], other: dict[tuple[str, int, int], dict[int, int]],
-    third: dict[tuple[str, int, int], dict[int, int]]
+@given(st.lists(st.tuples(st.sampled_from("ab"), st.integers(1, 2), st.integers(0, 200), st.integers(1, 3)),
+                min_size=1, max_size=30), st.randoms(use_true_random=False))
+def test_what_is_taken_does_not_depend_on_order_or_repeats(
+    requests: list[tuple[str, int, int, int]], rng: random.Random
 ) -> None:
-    a, b, c = state_of(one), state_of(other), state_of(third)
-    assert plain(join_states(a, b, copy)) == plain(join_states(b, a, copy))
-    left = join_states(join_states(a, b, copy), c, copy)
-    assert plain(left) == plain(join_states(a, join_states(b, c, copy), copy))
-    assert plain(join_states(a, a, copy)) == plain(a) == plain(join_states(a, {}, copy))
+    """Two instances of two incarnations each count, and tell all they know after each request."""
+    senders = {(name, age): Counts(name, age, WINDOW, 0) for name in "ab" for age in (1, 2)}
+    messages = []
+    for number, (name, age, tenth, key) in enumerate(sorted(requests, key=lambda each: each[2]), start=1):
+        sender, now_us = senders[name, age], tenth * 100_000
+        sender.add(key, now_us)
+        messages.append(message(sender, number, now_us, 1, 2, 3))
+
+    def known(order: list[Message]) -> dict[tuple[str, int, int], tuple[int, list[tuple[int, int]]]]:
+        receiver = Counts("c", 1, WINDOW, 0)
+        for each in order:
+            receiver.take(each, 30 * SECOND)
+        return {(*ident, key): plain(row) for ident, part in receiver.parts.items()
+                for key, row in part.rows.items()}
+
+    shuffled = messages * 2
+    rng.shuffle(shuffled)
+    assert known(shuffled) == known(messages)
 
 
 @settings(max_examples=100, deadline=None, derandomize=True)
@@ -214,8 +232,10 @@
             for other in fleet:
                 if other is not each:
                     each.take(message(other, number, now_us, 7), now_us)
-    parts = [each.part_of(7, now_us) for each in fleet]
-    assert parts == [pytest.approx(0.6, abs=0.01), pytest.approx(0.3, abs=0.01), pytest.approx(0.1, abs=0.01)]
+    parts, bursts = zip(*(each.parts_of(7, 30, now_us) for each in fleet), strict=True)
+    assert sum(bursts) == pytest.approx(1.0, abs=0.02) and bursts[0] > bursts[1] > bursts[2]
+    for part, expected in zip(parts, (0.6, 0.3, 0.1), strict=True):
+        assert part == pytest.approx(expected, abs=0.01)
 
 
 @pytest.mark.parametrize(("alone_share", "expected"), [(True, 0.25), (False, 1.0)])
@@ -223,12 +243,12 @@
     counts = Counts("a", 1, WINDOW, 0, alone_share=alone_share, silent_us=SECOND)
     counts.size = 4
     counts.add(7, 0)
-    assert counts.part_of(7, 0) == expected  # none was ever heard
+    assert counts.parts_of(7, 4, 0)[0] == expected  # none was ever heard
     for name in "bcd":
         counts.take(Message(name, 1, 1, 100_000, ()), 100_000)
-    assert counts.part_of(7, 200_000) == 1.0  # all are heard, and have no usage
+    assert counts.parts_of(7, 4, 200_000)[0] == 1.0  # all are heard, and have no usage
     counts.others.clear()
-    assert counts.part_of(7, 2 * SECOND) == expected
+    assert counts.parts_of(7, 4, 2 * SECOND)[0] == expected
 
 
 def test_keys_with_most_change_go_first_and_none_waits_for_ever() -> None:
@@ -236,27 +256,29 @@
     for key in range(40):
         counts.add(key, 0)
     seen: set[int] = set()
+    busy = 0
     for _ in range(16):  # twice the rounds that 40 keys take by 5
         counts.add(39, 0, 100)
         counts.add(38, 0, 50)
         chosen = counts.urgent(5, 5)
-        assert counts.round < 3 or {38, 39} & set(chosen) or len(seen) < 40
+        busy += {38, 39} <= set(chosen)
         counts.went(chosen)
         seen |= set(chosen)
+    assert busy >= 8  # where not all has to go that waits, those with most change do
     assert seen == set(range(40))
     counts.add(20, 0, 500)
     assert 20 in counts.urgent(5, 5)
 
 
 @settings(max_examples=100, deadline=None, derandomize=True)
-@given(st.lists(st.integers(1, 300), min_size=1, max_size=120))
+@given(st.lists(st.integers(1, 900), min_size=1, max_size=120))
 def test_a_datagram_counts_as_fresh_once(sequence: list[int]) -> None:
-    heard = Heard(sequence[0], first=sequence[0])
+    heard = Heard(sequence[0], sequence[0])
     taken = {sequence[0]}
     for each in sequence[1:]:
         fresh = heard.fresh(each)
         assert not (fresh and each in taken)
-        if heard.highest - each < 64 and each not in taken:
+        if heard.highest - each < SEEN and each not in taken:
             assert fresh
         if fresh:
             taken.add(each)
@@ -275,3 +297,35 @@
     assert use.share(1, SECOND) == pytest.approx(1 / 3) and use.share(0, SECOND) == pytest.approx(2 / 3)
     assert use.share(2, SECOND) == 0.0  # its allowance is for one instance
     assert use.share(3, SECOND) == 0.0
+
+
+def test_the_loss_that_is_told_is_of_late() -> None:
+    heard = Heard(1, 1)
+    for sequence in range(2, 2_001):
+        if sequence > 1_000 or sequence % 2:  # half is lost for a while, then nothing
+            assert heard.fresh(sequence)
+        if sequence == 1_000:
+            assert heard.lost == pytest.approx(0.5, abs=0.01)
+    assert heard.lost == 0.0
+
+
+def test_made_up_names_push_no_listed_tenant_out() -> None:
+    counts = Counts("a", 1, WINDOW, 0, most_keys=64)
+    use = TenantUse(counts, ["big", "small"], frozenset((0, 1)))
+    for number in range(1_000):
+        counts.add(key_of(f"made up {number}"), 0)
+    use.came(0, 0)
+    use.came(0, 0)
+    use.came(1, 0)
+    assert use.share(0, SECOND) == pytest.approx(2 / 3)
+    assert len(counts.own) <= 64 + 2 + OVERFLOW_KEYS
+
+
+def test_what_no_window_holds_any_more_is_forgotten_though_it_was_sent_meanwhile() -> None:
+    counts = Counts("a", 1, WINDOW, 0)
+    counts.add(7, 0)
+    for step in range(1, 20):
+        counts.row_out(7, step * SECOND // 2)
+        counts.sweep(step * SECOND // 2)
+        assert 7 in counts.own or step > WINDOW.buckets
+    assert not counts.own and not counts.changed and not counts.rested
--- a/tests/decisions/test_counts_bound.py
+++ b/tests/decisions/test_counts_bound.py
@@ -104,7 +104,7 @@
     assert model.estimate(0, 1) == own
     assert model.estimate(1, 1) == pytest.approx(model.true_count(1), rel=0.1)
     # the blind one keeps to its part by number, so that both together stay within the limit
-    parts = [each.counts.part_of(1, model.local_us(number)) for number, each in enumerate(model.gossips)]
+    parts = [each.counts.parts_of(1, 1, model.local_us(n))[0] for n, each in enumerate(model.gossips)]
     assert parts[0] == pytest.approx(0.5) and sum(parts) < 1.15
 
 
--- a/tests/decisions/test_large_fleet.py
+++ b/tests/decisions/test_large_fleet.py
@@ -14,7 +14,7 @@
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_six_in_ten_replaced_within_seven_seconds(seed: int) -> None:
-    """Leavers get nothing past their grace (checked at each send), no joiner is pushed over by the sum."""
+    """Leavers get nothing after word (checked at each send), no joiner is pushed over by the sum."""
     fleet = Fleet(60, seed=seed)
     fleet.play(2.0, PER_S)
     for number in range(1, 37):
--- a/tests/decisions/test_limits.py
+++ b/tests/decisions/test_limits.py
@@ -304,4 +304,4 @@
     let = 0
     for tick in range(2_000):  # 2 s, a request a millisecond
         let += let_in(fleet[tick % 20][0], tick * 1_000)
-    assert 150 < let <= 2 * 100 + 2 * 100  # the rate and, shared out, a burst that grows with steady usage
+    assert 150 < let <= 2 * 100 + 100  # the rate, and one burst for all
--- a/tests/decisions/test_list.py
+++ b/tests/decisions/test_list.py
@@ -4,6 +4,8 @@
 
 import heapq
 
+import pytest
+
 from plovertrail.decisions.balance import Balancer
 from plovertrail.decisions.interface import (
     AttemptEnded,
@@ -55,7 +57,7 @@
         start_us = world.now_us
         while len(asks(world)) == before:
             world.advance(10_000)
-            assert world.now_us - start_us < 2 * 10_000_000  # rule 3: four times that after a failed call
+            assert world.now_us - start_us < 10_000_000
         waits.append(world.now_us - start_us)
     assert waits[0] < 500_000 and waits[-1] > 1_000_000
 
@@ -177,28 +179,30 @@
 
 
 class WorksInTurn:
-    """A discovery that does eight calls a second, one after the other; a call that has waited for two seconds
-    fails, and is work all the same when its turn comes; where 32 wait, further ones fail at once."""
+    """A discovery that does one call after the other; one that has waited for two seconds fails, and is work
+    all the same when its turn comes; where 32 wait, further ones fail at once."""
 
-    EACH_US, PATIENCE_US, MOST = 125_000, 2_000_000, 32
+    PATIENCE_US, MOST = 2_000_000, 32
 
-    def __init__(self) -> None:
+    def __init__(self, each_us: int) -> None:
+        self.each_us = each_us
         self.free_us = 0
 
     def call(self, now_us: int) -> tuple[int, bool]:
         """When a call ends, and whether with a list."""
-        if self.free_us - now_us > self.MOST * self.EACH_US:
+        if self.free_us - now_us > self.MOST * self.each_us:
             return now_us, False
-        self.free_us = max(self.free_us, now_us) + self.EACH_US
+        self.free_us = max(self.free_us, now_us) + self.each_us
         in_time = self.free_us <= now_us + self.PATIENCE_US
         return (self.free_us, True) if in_time else (now_us + self.PATIENCE_US, False)
 
 
-def test_forty_do_not_keep_a_discovery_down_that_works_on_calls_that_have_failed() -> None:
+@pytest.mark.parametrize("each_us", [125_000, 160_000])
+def test_forty_do_not_keep_a_discovery_down_that_works_on_calls_that_have_failed(each_us: int) -> None:
     """Hazard: calls that come faster than they are done all fail, for as long as they do."""
     config = settings(instances=40, list_on_request=True, ask_within_us=6_600_000)
     balancers = [Balancer(config, seed, START_US) for seed in range(40)]
-    discovery = WorksInTurn()
+    discovery = WorksInTurn(each_us)
     due: list[tuple[int, int, int]] = [(START_US, number, 0) for number in range(40)]
     told: dict[int, int] = {}
     calls = 0
@@ -223,15 +227,17 @@
 
 
 def test_waits_after_failed_calls_stay_within_what_rule_3_allows() -> None:
-    """An instance counts as told of a change four times ask-within after a failed call at the latest."""
+    """After a failed call an instance counts as told when it has not asked for four times ask-within."""
     for seed in range(20):
         world = World(settings(instances=40, list_on_request=True, ask_within_us=6_600_000), seed)
         world.tell_list(upstreams(4), ListKind.CACHED)
         world.advance(3_300_000)
         assert len(asks(world)) == 1  # at the start within half of it
         for _ in range(6):
-            before, start_us = len(asks(world)), world.now_us
+            before = len(asks(world))
+            world.advance(1_000_000)  # it waits in vain
+            start_us = world.now_us
             world.tell(UpstreamsUpdated(ListKind.FAILED))
             while len(asks(world)) == before:
                 world.advance(50_000)
-            assert world.now_us - start_us <= 2 * 6_600_000 + 50_000
+            assert world.now_us - start_us < 6_600_000
--- a/tests/peers/test_talk.py
+++ b/tests/peers/test_talk.py
@@ -19,18 +19,11 @@
 from plovertrail.config.operator import load, parse
 from plovertrail.config.problems import ConfigError
 from standins.web import WebServer
-from tests.daemons import Running, message, run, running, site
+from tests.daemons import LIMITED, Running, message, run, running, site
 from tests.net import until
 
 KEY = "0123456789abcdef0123456789abcdef"
-ROUTES = """
-[[routes]]
-name = "all"
-class = "buy"
-pools = ["main"]
-tenant = "header:X-Tenant"
-limiters = ["it"]
-"""
+ROUTES = LIMITED.replace("{client}", "address")
 LIMIT = """
 [limiters.it]
 by = "tenant"
@@ -128,7 +121,7 @@
             counts = it.daemon.peers.talk.counts if it.daemon.peers.talk is not None else None
             assert counts is not None and heard(it) == 0
             key = it.daemon.limiters["it"].shared_key("acme", "")
-            part = counts.part_of(key, counts.start_us)
+            part, _ = counts.parts_of(key, 6, counts.start_us)
             assert part == pytest.approx(1 / 3 if alone == "share" else 1.0)
 
     run(test)
@@ -246,6 +239,25 @@
     run(test)
 
 
+def test_till_a_list_of_peers_is_read_the_instances_of_the_file_are_reckoned_with(tmp_path: Path) -> None:
+    """Hazard: alone in its own eyes, each would take all of a limit when all start at once."""
+
+    async def test() -> None:
+        ports = datagram_ports(1)
+        head = "[limits]\ninstances = 4\n" + head_of(tmp_path, ports, 0)
+        head = head.replace(f'addresses = ["127.0.0.1:{ports[0]}"]', f'peers_from = "{tmp_path}/peers.json"')
+        async with running(tmp_path, {"main": [WebServer()]}, routes=ROUTES, head=head) as it:
+            assert it.daemon.status()["peers"]["size"] == 4
+            assert [(await it.ask(buy())).status for _ in range(3)] == [200, 429, 429]  # a quarter of six
+            await until(lambda: bool(it.daemon.status()["peers"]["problem"]))
+            (tmp_path / "peers.json").write_text(
+                f'{{"servers": [{{"id": "i0", "address": "127.0.0.1:{ports[0]}"}}]}}')
+            await until(lambda: it.daemon.status()["peers"]["size"] == 1)
+            assert not it.daemon.status()["peers"]["problem"]
+
+    run(test)
+
+
 def test_status_tells_who_was_heard_and_how_far_counts_may_be_off(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -122,13 +122,12 @@
     async def test() -> None:
         pools = {name: [WebServer(always(NOT_RUN))] for name in ("a", "b", "c")}
         async with running(tmp_path, pools) as it:
-            assert await it.change(it.path.read_text().replace('aim = "1s"', 'aim = "40ms"'))
+            assert await it.change(it.path.read_text().replace('aim = "1s"', 'aim = "100ms"'))
             for _ in range(40):
                 assert (await it.ask(message("POST /buy"))).status == 503
             sent = sum(servers[0].count for servers in pools.values())
-        # a first attempt each; five reissues in hand, and a fifth of one earned by each first attempt; on a
-        # slow machine some find no slot in time
-        assert 5 + 40 / 5 < sent <= 40 + 5 + 40 / 5
+        # a first attempt each; five reissues in hand, and a fifth of one earned by each first attempt
+        assert 20 < sent <= 40 + 5 + 40 / 5
 
     run(test)
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -10,21 +10,12 @@
 
 from standins.live import LiveServer
 from standins.web import WebServer
-from tests.daemons import Client, Held, Running, message, run, running
+from tests.daemons import LIMITED, Client, Held, Running, message, run, running
 from tests.net import until
 from tests.websocket_site import ROUTES as LIVE_ROUTES
 from tests.websocket_site import live_site
 
 TENANTS = "".join(f"[tenants.{name}]\nallowance_per_s = 10\n" for name in ("big", "small"))
-ROUTES = """
-[[routes]]
-name = "all"
-class = "buy"
-pools = ["main"]
-tenant = "header:X-Tenant"
-client = "{client}"
-limiters = ["it"]
-"""
 SLOW = "rate_per_s = 0.01\nburst = 2"  # none comes free while a test runs
 
 
@@ -33,7 +24,7 @@
 
 
 def routes(client: str = "address") -> str:
-    return ROUTES.replace("{client}", client)
+    return LIMITED.replace("{client}", client)
 
 
 def buy(*headers: str) -> bytes:
