--- a/plovertrail/decisions/counts.py
+++ b/plovertrail/decisions/counts.py
@@ -24,6 +24,7 @@
 DRIFT = 0.001  # by which another's clock may run faster or slower: far more than real ones do
 MOST_COUNT = 2 ** 32 - 1
 SEEN = 256  # datagrams that are remembered of each sender, to tell repeats and losses
+KEYS_A_SWEEP = 8_192  # of peers, looked at for what is over; a part's last ones may be as many again
 KEPT_PARTS = 16  # of a bucket's time, for one of which a sum over all peers is kept
 
 
@@ -377,7 +378,8 @@
         return found
 
     def sweep(self, now_us: int, at_once: bool = False) -> None:
-        """Forget what no window holds any more; at most once in a bucket's time, as it goes through all."""
+        """Forget what no window holds any more; at most once in a bucket's time, and of the peers' keys so
+        many at a time. Hazard: all of them at once would hold the loop up."""
         if now_us - self.swept_us < self.window.bucket_us and not at_once:
             return
         self.swept_us = now_us
@@ -386,11 +388,17 @@
             del self.own[key]
             self.changed.pop(key, None)
             self.rested.pop(key, None)
+        kept_us = self.window.span_us + self.window.bucket_us + self.silent_us
         for ident, part in list(self.parts.items()):
-            if now_us - part.heard_us > self.window.span_us + self.window.bucket_us + self.silent_us:
+            if now_us - part.heard_us > kept_us:
                 del self.parts[ident]
                 self.peer_keys -= len(part.rows)
-                continue
+        looked_at = 0
+        for ident in list(self.parts):
+            if looked_at >= KEYS_A_SWEEP:
+                break
+            part = self.parts[ident] = self.parts.pop(ident)  # those looked at last stand at the end
+            looked_at += len(part.rows)
             oldest = int((now_us - part.offset_us) // self.window.bucket_us) - self.window.slots
             for key in [key for key, row in part.rows.items() if row.newest <= oldest]:
                 del part.rows[key]
--- a/tests/decisions/test_counts.py
+++ b/tests/decisions/test_counts.py
@@ -329,3 +329,17 @@
         counts.sweep(step * SECOND // 2)
         assert 7 in counts.own or step > WINDOW.buckets
     assert not counts.own and not counts.changed and not counts.rested
+
+
+def test_keys_of_peers_are_looked_at_in_turns_and_all_of_them_in_time() -> None:
+    counts = Counts("me", 1, WINDOW, 0)
+    rows = tuple((key, 0, (1,)) for key in range(4_096))
+    for number in range(8):
+        counts.take(Message(f"p{number}", 1, 1, 0, rows), 0)
+    assert counts.peer_keys == 8 * 4_096
+    for step in range(1, 5):  # each is heard on, with none of those keys
+        now_us = 10 * SECOND + step * WINDOW.bucket_us
+        for number in range(8):
+            counts.take(Message(f"p{number}", 1, 1 + step, now_us, ()), now_us)
+        counts.sweep(now_us)
+        assert counts.peer_keys == (8 - 2 * step) * 4_096
