A stop lasts as long as the settings' longest deadline, and answers all before it ends

LONGEST_STOP_S in plovertrail/__main__.py took 3 s for the longest deadline whatever the settings say. Ruled out: the process's clock (the loop's and the module's agree), the module (the requests were within their time), the backlog.

The stop is as long as the settings' longest deadline, plus the half second in which connections still come. A request whose last byte comes while it is under way gets no longer than the process has; at the end what is open is answered, what has come in part is turned away, and answers get a moment to be taken. The backlog is taken when listening ends, as in the daemon.

Three tests fail without it, one of them with a process and SIGTERM.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -9,6 +9,7 @@
 import sys
 from functools import partial
 
+from plovertrail.clock import clock_us
 from plovertrail.config import platform as config
 from plovertrail.config.settings import SettingsError
 from plovertrail.fronts.application import Server
@@ -21,7 +22,8 @@
 
 UNREADABLE = (OSError, KeyError, TypeError, ValueError, SettingsError)
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
-LONGEST_STOP_S = 3.6  # SIGKILL comes 0.7 s after the longest deadline, of 3 s, at the soonest
+STOP_SLACK_S = 0.1  # for the last answers to be on their way, within the 0.7 s that SIGKILL waits for longer
+FLUSH_S = 0.05  # for what the last answers' clients are slow to take
 
 
 async def follow(path: str, reload: asyncio.Event, discovery: Discovery) -> None:
@@ -55,14 +57,26 @@
     server.listen(settings.listen)
     await stop.wait()
     following.cancel()
-    started = loop.time()
+    await end(server, longest_s=max(kind.deadline_us for kind in settings.settings.classes) / 1e6)
+
+
+async def end(server: Server, longest_s: float) -> None:
+    """Answer what still comes and all that is open; no request has longer than `longest_s` seconds. Hazard:
+    a stop that is shorter than a class's deadline leaves with requests unanswered, however few there are."""
+    loop = asyncio.get_running_loop()
+    ends = loop.time() + STILL_COMING_S + longest_s + STOP_SLACK_S
+    server.finish_by(clock_us() + int((STILL_COMING_S + longest_s) * 1e6))
     server.stop_idle()
     await asyncio.sleep(STILL_COMING_S)
-    server.stop_listening()
+    server.drain_backlog()
     server.stop_idle()
-    while server.count() and loop.time() < started + LONGEST_STOP_S:
+    while server.count() and loop.time() < ends:
         await asyncio.sleep(0.01)
         server.stop_idle()
+    server.answer_rest()
+    ends = loop.time() + FLUSH_S
+    while server.unsent() and loop.time() < ends:
+        await asyncio.sleep(0.01)
 
 
 async def run(settings: config.Config) -> None:
--- a/plovertrail/fronts/application.py
+++ b/plovertrail/fronts/application.py
@@ -225,6 +225,7 @@
         if self.transport.get_write_buffer_size() > 0:
             raise Reject(400, "the last answer was not read")  # hazard: unread answers would fill the memory
         self.server.move(self, State.OPEN)
+        call.deadline_us = self.server.within(call)
         self.ident = self.server.host.arrived(call, self.answer, self.server.pools)
 
     def answer(self, answer: Answer) -> None:
@@ -271,6 +272,30 @@
         self.pools = (pool,)
         self.catalogue = Catalogue(settings)
         self.seen = SeenIds(max(kind.deadline_us for kind in settings.classes) / 1e6)
+        self.ends_us: int | None = None  # when the process ends, once that is known
 
     def connection(self, sock: socket.socket) -> Client:
         return Client(self, sock)
+
+    def finish_by(self, ends_us: int) -> None:
+        """The process ends then, by the module's clock: what is taken from now on has no longer."""
+        self.ends_us = ends_us
+
+    def within(self, call: Call) -> int:
+        """A request's time. Hazard: one whose bytes came slowly would outlast a stop that was under way."""
+        return call.deadline_us if self.ends_us is None else min(call.deadline_us,
+                                                                 self.ends_us - call.arrived_us)
+
+    def answer_rest(self) -> None:
+        """The process ends now: what is open has its final answer, what has come in part is turned away."""
+        for client in list(self.clients[State.OPEN]):
+            self.host.end(client.ident)
+        for state in (State.READING, State.FRESH):
+            for client in list(self.clients[state]):
+                if client.size and client.transport is not None:
+                    client.refuse(503)
+
+    def unsent(self) -> bool:
+        """Whether answers wait for their clients to take them."""
+        return any(client.transport is not None and client.transport.get_write_buffer_size() > 0
+                   for group in self.clients.values() for client in group)
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -268,6 +268,12 @@
             if request.pool is not None:
                 self._tell(request.pool, api.RequestGone(ident))
 
+    def end(self, ident: int) -> None:
+        """The process ends now: a request that is still open has its final answer."""
+        request = self.requests.get(ident)
+        if request is not None:
+            self._overdue(request)
+
     def list_changed(self, pool: ServerPool, event: api.UpstreamsUpdated,
                      addresses: dict[int, Address]) -> None:
         """What is known of a pool's servers has changed."""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -20,7 +20,7 @@
 import pytest
 
 from plovertrail.config.platform import Config, flatten, load
-from tests.net import OK, PATIENCE_S, Upstream, configuration, entry, listing, read_message, request
+from tests.net import OK, PATIENCE_S, SETTINGS, Upstream, configuration, entry, listing, read_message, request
 
 ROOT = Path(__file__).resolve().parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
@@ -139,6 +139,56 @@
     asyncio.run(test())
 
 
+def test_sigterm_waits_for_requests_of_the_longest_deadline_and_answers_each(tmp_path: Path) -> None:
+    """Hazard: deadlines are what the settings say, and a stop that is shorter leaves requests unanswered."""
+    held_s = 4.0  # longer than the platform's SIGKILL waits for the shortest of deadlines
+
+    async def slow(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                   writer: asyncio.StreamWriter) -> None:
+        if upstream.requests[number][1] != b"never":
+            await asyncio.sleep(held_s)
+            writer.write(OK)
+        await reader.read()
+
+    async def asked(port: int, body: bytes) -> bytes:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(request("pay", body=body, deadline_ms=6_000 if body == b"never" else 60_000))
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    async def test() -> None:
+        upstreams = [Upstream(slow) for _ in range(4)]
+        for upstream in upstreams:
+            await upstream.start()
+        patient = {"name": "pay", "aim": 400_000, "deadline": 60_000_000, "effect": "at_most_once",
+                   "worth": 10.0, "late-worth": 0.5}
+        path = configuration(tmp_path, known=listing(*(entry(f"u{i}", each.port)
+                                                       for i, each in enumerate(upstreams))),
+                             settings=SETTINGS | {"request-classes": [patient]})
+        port = int(json.loads(path.read_text())["listen"].split(":")[1])
+        with program(path) as process:
+            async with asyncio.timeout(PATIENCE_S + held_s):
+                while True:
+                    try:
+                        (await asyncio.open_connection("127.0.0.1", port))[1].close()
+                        break
+                    except ConnectionRefusedError:
+                        await asyncio.sleep(0.02)
+                answers = [asyncio.create_task(asked(port, body)) for body in (b"late", b"never")]
+                while sum(len(upstream.requests) for upstream in upstreams) < 2:
+                    await asyncio.sleep(0.01)
+                process.send_signal(signal.SIGTERM)
+                late, never = await asyncio.gather(*answers)
+                assert late.startswith(b"HTTP/1.1 200 ") and late.endswith(b"done")
+                assert never.startswith(b"HTTP/1.1 500 ") and b"Connection: close" in never
+                assert await asyncio.to_thread(process.wait, PATIENCE_S) == 0
+        for upstream in upstreams:
+            upstream.stop()
+
+    asyncio.run(test())
+
+
 @pytest.mark.parametrize("changes", [{"listen": "nowhere"}, {"settings": {}}, {"limits": {}}])
 def test_a_configuration_that_can_not_be_read_ends_it_with_one_line(tmp_path: Path,
                                                                     changes: dict[str, Any]) -> None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -14,10 +14,11 @@
 import pytest
 
 from plovertrail.decisions.balance import MOST_SLOTS, Balancer
-from plovertrail.decisions.interface import AttemptEnded, Event, Outcome, RequestClass
+from plovertrail.decisions.interface import AttemptEnded, Event, Outcome, RequestClass, Settings
 from plovertrail.exchange import Call, Result
 from plovertrail.fronts import application as server
 from plovertrail.fronts import connections
+from plovertrail.host import Host
 from plovertrail.upstreams.connections import Attempt, Connection, ConnectionPool
 from tests.net import (
     NOT_RUN,
@@ -26,6 +27,7 @@
     Discovery,
     Upstream,
     answering,
+    classes,
     configuration,
     entry,
     listing,
@@ -754,6 +756,44 @@
     run(test)
 
 
+def test_at_its_end_what_has_come_in_part_is_turned_away_and_what_is_open_has_its_answer() -> None:
+    async def test() -> None:
+        short = [RequestClass("pay", aim_us=50_000, deadline_us=100_000, effect="at_most_once")]
+        upstream = Upstream(silent)
+        async with sidecar(upstream, classes=short) as it, asyncio.timeout(PATIENCE_S):
+            half, half_writer = await it.connect()
+            half_writer.write(request("pay", body=b"body")[:-1])
+            slow, slow_writer = await it.connect()
+            slow_writer.write(request("pay", body=b"body")[:-1])
+            await asyncio.sleep(0.05)
+            it.stop.set()
+            await asyncio.sleep(0.05)
+            slow_writer.write(b"y")  # its last byte comes while the stop is under way
+            assert status(await read_message(slow)) == 500
+            head, _ = await read_message(half)
+            assert status((head, b"")) == 503 and b"Connection: close" in head
+            await it.task
+            half_writer.close()
+            slow_writer.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("ends_in_ms", [0, -50, 300])
+def test_a_request_that_is_taken_while_a_stop_is_under_way_has_no_longer_than_the_process(
+        ends_in_ms: int) -> None:
+    async def test() -> None:
+        host = Host()
+        settings = Settings(classes=classes())
+        front = server.Server(host, host.add_pool("", settings, 1, ConnectionPool(1, 1, 1)), settings, 10)
+        call = Call(b"POST", b"/pay", [], b"", arrived_us=1_000_000, deadline_us=20_000_000, class_index=1)
+        assert front.within(call) == 20_000_000
+        front.finish_by(1_000_000 + 1000 * ends_in_ms)
+        assert front.within(call) == 1000 * ends_in_ms
+
+    run(test)
+
+
 # A new configuration
 
 
