A stop ends before SIGKILL, with an answer to what outlasts it

So SIGKILL comes 0.7 s after a deadline of at most 3 s also where classes have longer ones, and their clients get a reset.

The stop waits for 3 s at most and half a second more; what is open then has its final answer (failed, as it may have run), and the process ends by itself.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -22,7 +22,8 @@
 
 UNREADABLE = (OSError, KeyError, TypeError, ValueError, SettingsError)
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
-STOP_SLACK_S = 0.1  # for the last answers to be on their way, within the 0.7 s that SIGKILL waits for longer
+LONGEST_WAIT_S = 3.0  # SIGKILL comes 0.7 s after the longest deadline or, where that is longer, after so much
+STOP_SLACK_S = 0.1  # for the last answers to be on their way, within these 0.7 s
 FLUSH_S = 0.05  # for what the last answers' clients are slow to take
 
 
@@ -62,10 +63,11 @@
 
 async def end(server: Server, longest_s: float) -> None:
     """Answer what still comes and all that is open; no request has longer than `longest_s` seconds. Hazard:
-    a stop that is shorter than a class's deadline leaves with requests unanswered, however few there are."""
+    deadlines may be longer than SIGKILL waits; what is open then has its answer before that, and not none."""
     loop = asyncio.get_running_loop()
-    ends = loop.time() + STILL_COMING_S + longest_s + STOP_SLACK_S
-    server.finish_by(clock_us() + int((STILL_COMING_S + longest_s) * 1e6))
+    left_s = STILL_COMING_S + min(longest_s, LONGEST_WAIT_S)
+    ends = loop.time() + left_s + STOP_SLACK_S
+    server.finish_by(clock_us() + int(left_s * 1e6))
     server.stop_idle()
     await asyncio.sleep(STILL_COMING_S)
     server.drain_backlog()
