A daemon that stood still reads its lists before it sends; a rig of processes shows it

A process that is stopped and woken finds connections that came up, requests, timers and changed lists at once, and acted on what it knew before. Two processes under 60 requests a second, one stopped for 4 s, a server drained 0.5 s into that: four purchases reached the drained server 3.5 s after word.

The loop's selector sees the gap before any event (0.5 s beyond the longest wait); the host then keeps events and sends back, gives up what is not written, and goes on once each watched file has been read again, calls on the control socket and a reload included, or after 1 s. A request's time counts from when the kernel received it. Found beside it: a daemon that stopped did not wait for sockets whose client had gone first; the log dropped lines of a start with a reload behind it. The tests run on four workers.

--- a/plovertrail/cli/__init__.py
+++ b/plovertrail/cli/__init__.py
@@ -5,7 +5,7 @@
 import click
 
 from plovertrail.cli.check import check
-from plovertrail.cli.control import drain, status, undrain
+from plovertrail.cli.control import drain, status, undrain, wait
 from plovertrail.cli.counts import counts
 from plovertrail.cli.demo import demo
 from plovertrail.cli.hook import hook
@@ -22,6 +22,6 @@
     """A balancer that keeps its rules when things break."""
 
 
-for command in (serve, check, test, route, counts, status, drain, undrain, seal, hook, import_nginx, top,
-                demo):
+for command in (serve, check, test, route, counts, status, wait, drain, undrain, seal, hook, import_nginx,
+                top, demo):
     main.add_command(command)
--- a/plovertrail/cli/check.py
+++ b/plovertrail/cli/check.py
@@ -11,6 +11,7 @@
 from plovertrail.config import operator
 from plovertrail.config.problems import ConfigError
 from plovertrail.daemon import HookLoader, needed_descriptors, needed_memory
+from plovertrail.decisions.recovery import pieces
 from plovertrail.sources.files import FileSource
 from plovertrail.sources.lists import BadList
 
@@ -39,6 +40,14 @@
             for name, hook in compiled.items()]
 
 
+def state_of(setup: operator.Setup) -> list[str]:
+    """What becomes of each piece of the setup's state over a restart."""
+    used = {"limiters": setup.limiters, "tenants": setup.tenants, "peers": setup.peers, "hooks": setup.hooks}
+    return [f"after a restart: {piece.name}: {piece.from_where}; may be of {piece.oldest}; "
+            f"until then {piece.meanwhile}"
+            for piece in pieces({part for part, has in used.items() if has}, bool(setup.state_file))]
+
+
 @click.command()
 @click.argument("file", type=click.Path(dir_okay=False))
 def check(file: str) -> None:
@@ -52,6 +61,8 @@
                f"{needed_memory(setup) >> 20} MiB of messages")
     for line in hooks_of(setup):
         click.echo(line)
+    for line in state_of(setup):
+        click.echo(line)
     for name, pool in setup.pools.items():
         for path in pool.files:
             click.echo(f"pools.{name}: {told_of(path, pool.checksum)}")
--- a/plovertrail/cli/control.py
+++ b/plovertrail/cli/control.py
@@ -5,18 +5,22 @@
 import json
 import socket
 import sys
+import time
 from typing import Any
 
 import click
 
+from plovertrail.decisions.recovery import Phase
+
 SOCKET = click.option("--socket", "path", envvar="PLOVERTRAIL_SOCKET", required=True,
                       help="control_socket of the daemon's file; or in PLOVERTRAIL_SOCKET.")
 PATIENCE_S = 5.0
 LONGEST_ANSWER = 64 << 20
+LOOK_S = 0.05  # between two looks while waiting
 
 
-def ask(path: str, **what: str) -> dict[str, Any]:
-    """One call; prints what went wrong and exits with 1."""
+def asked(path: str, **what: str) -> dict[str, Any] | str:
+    """One call: the answer, or why no daemon gave one."""
     try:
         with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
             sock.settimeout(PATIENCE_S)
@@ -24,8 +28,16 @@
             sock.sendall(json.dumps(what).encode() + b"\n")
             with sock.makefile("rb") as file:
                 answer: dict[str, Any] = json.loads(file.readline(LONGEST_ANSWER))
+                return answer
     except (OSError, ValueError) as error:
-        click.echo(f"no daemon answers on {path}: {error}", err=True)
+        return f"no daemon answers on {path}: {error}"
+
+
+def ask(path: str, **what: str) -> dict[str, Any]:
+    """One call; prints what went wrong and exits with 1."""
+    answer = asked(path, **what)
+    if isinstance(answer, str):
+        click.echo(answer, err=True)
         sys.exit(1)
     if not answer.get("ok"):
         click.echo(answer.get("error", "it failed"), err=True)
@@ -53,6 +65,41 @@
     click.echo(f"{pool} {server}: drained by hand no more")
 
 
+def tell_phase(recovery: dict[str, Any]) -> str:
+    """The phase, since when, and what is missing."""
+    told = f"{recovery['phase']} for {recovery['since_s']:.1f} s ({recovery['why']})"
+    if recovery["to_full_s"] is not None:
+        told += f", last back to full after {recovery['to_full_s']:.3f} s"
+    if recovery["gaps"]:
+        told += f", stood still {recovery['gaps']} times, {recovery['longest_gap_s']:.1f} s at most"
+    return told
+
+
+@click.command()
+@click.option("--phase", type=click.Choice([phase.value for phase in Phase]), default=Phase.FULL.value,
+              help="The phase to wait for; a later one counts as well. Default: full.")
+@click.option("--within", "within_s", type=click.FloatRange(min=0), default=60.0,
+              help="Seconds to wait at most. Default: 60.")
+@SOCKET
+def wait(phase: str, within_s: float, path: str) -> None:
+    """Wait until the daemon has come so far, for rollouts: exits with 0 then, with 4 if it hasn't in time."""
+    order = [each.value for each in Phase]
+    ends = time.monotonic() + within_s
+    while True:
+        found = asked(path, do="status")
+        recovery = found["status"]["recovery"] if isinstance(found, dict) else None
+        if recovery is not None and order.index(recovery["phase"]) >= order.index(phase):
+            click.echo(tell_phase(recovery))
+            return
+        if time.monotonic() >= ends:
+            missing = recovery["missing"] if recovery is not None else {}
+            told = tell_phase(recovery) if recovery is not None else str(found)
+            told += "".join(f"\n  {name}: {why}" for name, why in missing.items())
+            click.echo(f"not {phase} within {within_s:g} s: {told}", err=True)
+            sys.exit(4)
+        time.sleep(min(LOOK_S, max(0.0, ends - time.monotonic())))
+
+
 def tell_peers(peers: dict[str, Any]) -> None:
     """Who counts together with this instance, and how far the counts may be off."""
     if not peers:
@@ -82,6 +129,9 @@
     else:
         click.echo(f"{found['file']}: generation {found['generation']}, {found['connections']} connections, "
                    f"{found['requests']} requests open, state file: {found['state_file']}")
+        click.echo(f"phase: {tell_phase(found['recovery'])}")
+        for name, why in found["recovery"]["missing"].items():
+            click.echo(f"  ! {name}: {why}")
         for name, pool in found["pools"].items():
             click.echo(f"{name}: generation {pool['generation']}, {len(pool['servers'])} servers")
             for told in pool["problems"]:
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -32,6 +32,7 @@
 from plovertrail.host import Host, ServerPool
 from plovertrail.line_log import LineLog
 from plovertrail.peers.keeper import PeerKeeper
+from plovertrail.recovery_keeper import RecoveryKeeper
 from plovertrail.roster import FirstRead, Roster
 from plovertrail.sources.files import FileSource, first_read
 from plovertrail.sources.instances import InstanceList
@@ -180,6 +181,7 @@
         self.max_answer = max_answer
         self.roster = roster
         self.connections = connect(config, AnswerRules(max_answer, FAULTS, until_close=True))
+        self.connections.stale = lambda: host.stale()
         self.pool = host.add_pool(config.name, config.settings, seed, self.connections)
         self.budget = share.Budget()
         self.overdrawn = ""
@@ -241,6 +243,9 @@
         self.hooks = HookLoader(clock_us)
         self.limiters: dict[str, Limiter] = {}
         self.peers = PeerKeeper(seeds)
+        self.reloading = asyncio.Lock()
+        self.recovery = RecoveryKeeper(
+            self.host, lambda: {name: pool.roster for name, pool in self.pools.items()}, self._reloaded)
         self.current = Current(Generation(0, setup, {}, {}, {}))
         compiled = self.hooks.prepare(setup)
         self.apply(setup, read_lists(setup, frozenset()), compiled)
@@ -303,6 +308,7 @@
             self.fronts)
         self._follow_fleet(setup.fleet)
         self._list_changed()
+        self.recovery.follow()
 
     def _bind_peers(self, setup: operator.Setup) -> socket.socket | None:
         return self.peers.bind(setup)
@@ -348,7 +354,9 @@
 
     def _roster(self, name: str) -> Roster:
         state = self.kept.pop(name, None) or State(started=bool(self.generation.number))
-        return Roster(name, self.host, state, partial(self._elsewhere, name), self._list_changed)
+        roster = Roster(name, self.host, state, partial(self._elsewhere, name), self._list_changed)
+        roster.heard = partial(self.recovery.told, name)
+        return roster
 
     def _elsewhere(self, name: str) -> dict[tuple[str, tuple[str, int]], int]:
         """Since when the servers of other pools are known: one that another pool has is no newcomer here."""
@@ -405,8 +413,17 @@
             front.stop_idle()
             self.closing.append(front)
 
+    async def _reloaded(self) -> None:
+        """Until no reload is under way."""
+        async with self.reloading:
+            pass
+
     async def reload(self) -> bool:
         """Read the file again: in full, or the setup in force stays."""
+        async with self.reloading:
+            return await self._reload()
+
+    async def _reload(self) -> bool:
         self.lines.reopen()
         path = self.generation.setup.path
         try:
@@ -472,7 +489,8 @@
                              "zone": member.entry.zone, "weight": member.entry.weight,
                              "open": used.get(member.number, 0)}
                             for ident, member in state.members.items()]}
-        return {"fleet": {"instances": self.fleet.size, "problem": self.fleet_list.problem},
+        return {"recovery": self.recovery.status(),
+                "fleet": {"instances": self.fleet.size, "problem": self.fleet_list.problem},
                 "generation": self.generation.number, "file": self.generation.setup.path, "pools": pools,
                 "connections": self.count(), "requests": len(self.host.requests),
                 "sockets": len(self.sockets.relays),
@@ -489,6 +507,7 @@
         """Take nothing new, answer all that is open, and end the connections."""
         fronts = (*self.fronts.values(), *self.closing)
         self.control.stop()
+        self.recovery.stop()
         for pool in self.pools.values():
             pool.roster.stop()
         self.fleet_list.stop()
@@ -502,7 +521,8 @@
         while True:
             for front in fronts:
                 front.stop_idle()
-            if not self.count() or self.loop.time() >= ends:
+            # hazard: a socket whose client has gone first still closes at its server, and has its line to write
+            if not (self.count() or self.sockets.table.sockets) or self.loop.time() >= ends:
                 break
             await asyncio.sleep(0.01)
         self.hooks.stop()
--- a/plovertrail/fronts/connections.py
+++ b/plovertrail/fronts/connections.py
@@ -10,6 +10,7 @@
 from abc import abstractmethod
 from dataclasses import dataclass, field
 
+from plovertrail.clock import clock_us
 from plovertrail.host import Host
 
 log = logging.getLogger(__name__)
@@ -131,6 +132,10 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def arrived_us(self) -> int:
+        """When the last byte of the request that has just been read came, by the module's clock."""
+        return clock_us() - self.listener.host.waited_us(self.sock)
+
     def overdue(self) -> None:
         """Its state has lasted too long."""
         if self.state in (State.FRESH, State.READING) and self.size:
--- a/plovertrail/fronts/ordinary.py
+++ b/plovertrail/fronts/ordinary.py
@@ -180,7 +180,7 @@
         """The request as it goes on; raises TurnedAway, BadHandshake, TurnedAwayNow, Refused or
         AnsweredHere."""
         front, generation = self.front, self.front.current.generation
-        arrived_us = clock_us()
+        arrived_us = self.arrived_us()
         headers: dict[bytes, bytes] = {}
         hosts: list[bytes] = []
         for name, value in message.headers:
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -9,6 +9,8 @@
 
 import asyncio
 import logging
+import socket
+import struct
 from collections import deque
 from collections.abc import Callable, Container, Sequence
 from dataclasses import dataclass, field, replace
@@ -35,9 +37,16 @@
 SLICE = 250  # servers of a list that are told in one go: a module takes about 10 us for each
 LEAST_PAUSE_US = 1_000  # between two looks at a door
 NARROW_S = 1.0  # between two looks at what a subset can do without
+WOKEN_US = 1_000_000  # for so long after a stop what is read may have come before its end
+LAST_RECEIVED = struct.Struct("=52xI")  # tcpi_last_data_recv of Linux's struct tcp_info, in ms
 Address = tuple[str, int]
 
 
+def never_stale() -> bool:
+    """Where nobody watches for it."""
+    return False
+
+
 class Either:
     """What is in one of two."""
 
@@ -207,6 +216,13 @@
         self.last_ident = 0
         self.events: deque[tuple[ServerPool, api.Event]] = deque()
         self.running = False
+        # while it may act on nothing: what lists say, which goes first, and sends that were decided before
+        self.held = False
+        self.held_lists: list[tuple[ServerPool, api.Event]] = []
+        self.held_sends: list[tuple[ServerPool, api.Send]] = []
+        self.stale: Callable[[], bool] = never_stale  # the turn under way began too long ago to act on
+        self.gap_us = 0  # for how long the process last stood still,
+        self.woke_us = 0  # and when that ended
 
     # What happens
 
@@ -274,6 +290,45 @@
         if request is not None:
             self._overdue(request)
 
+    # A process that stood still
+
+    def hold(self, gap_us: int = 0) -> None:
+        """Act on nothing until `go_on`. What is on its way and not written is given up: its server may drain.
+        Bound: what waits meanwhile is what is open, each with its few events."""
+        self.gap_us, self.woke_us = max(gap_us, self.gap_us if self.held else 0), clock_us()
+        self.held = True
+        for request in list(self.requests.values()):
+            for number, attempt in enumerate(request.attempts):
+                if not attempt.ended and attempt.flight is not None and not attempt.flight.written:
+                    self._give_up(request, number, api.Outcome.CONNECT_FAILED)
+
+    def go_on(self) -> None:
+        """The sources have been read: what they said goes first, then what was decided, then what came."""
+        if not self.held:
+            return
+        self.held = False
+        lists, self.held_lists = self.held_lists, []
+        sends, self.held_sends = self.held_sends, []
+        self.events.extendleft(reversed(lists))
+        for pool, action in sends:
+            self._send(pool, action)
+        self._run()
+
+    def waited_us(self, sock: socket.socket) -> int:
+        """For how long what a client sent may have lain unread while the process stood still. Hazard: its
+        time began when it was sent, and counted from when it was read it would be sent on too late."""
+        since_us = clock_us() - self.woke_us
+        if not self.gap_us or since_us > WOKEN_US:
+            return 0
+        longest_us = self.gap_us + since_us
+        try:
+            found = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED.size)
+            return min(longest_us, 1000 * int(LAST_RECEIVED.unpack(found)[0]))
+        except (OSError, struct.error):
+            return longest_us  # the kernel doesn't tell: as if it had come first
+
+    # Lists
+
     def list_changed(self, pool: ServerPool, event: api.UpstreamsUpdated,
                      addresses: dict[int, Address]) -> None:
         """What is known of a pool's servers has changed."""
@@ -341,14 +396,20 @@
 
     def _tell(self, pool: ServerPool, event: api.Event) -> None:
         """Hand over an event and carry out the actions; what they bring about at once waits its turn."""
-        self.events.append((pool, event))
-        if self.running:
+        if self.held and isinstance(event, api.UpstreamsUpdated):
+            self.held_lists.append((pool, event))
+        elif not (self.held and isinstance(event, api.TimerFired) and (pool, event) in self.events):
+            self.events.append((pool, event))
+        self._run()
+
+    def _run(self) -> None:
+        if self.running or self.held:
             return
         self.running = True
         try:
-            while self.events:
+            while self.events and not self.held:
                 self._handle(*self.events.popleft())
-                if not self.events:
+                if not self.events and not self.held:
                     self._open_doors()
         finally:
             self.running = False
@@ -372,7 +433,12 @@
 
     def _carry_out(self, pool: ServerPool, action: api.Action) -> None:
         if isinstance(action, api.Send):
-            self._send(pool, action)
+            if self.stale() and not self.held:
+                self.hold()  # hazard: stopped between two events of one turn, the second would send
+            if self.held:
+                self.held_sends.append((pool, action))
+            else:
+                self._send(pool, action)
         elif isinstance(action, api.Refuse):
             self._gave_up(pool, action.request, Answer(Verdict.REFUSED, self._back_after_us(pool, action)))
             if pool.subset is not None:
@@ -400,7 +466,8 @@
     def _overdue(self, request: Request) -> None:
         if not request.over:
             log.warning("a request was overdue")
-            self._answer(request.ident, Answer(Verdict.FAILED, result=request.last))
+            verdict = Verdict.FAILED if request.attempts else Verdict.REFUSED  # no attempt: nothing has run
+            self._answer(request.ident, Answer(verdict, result=request.last))
             if request.pool is not None:
                 self._tell(request.pool, api.RequestGone(request.ident))
 
@@ -570,7 +637,10 @@
         request.standing.attempt_began()
         address = pool.addresses.get(action.upstream)
         left_us = request.due_us - now_us
-        if (request.over or address is None or left_us <= 0 or action.timeout_us < 0
+        if address is None:  # it was forgotten since the module chose it
+            self._end_attempt(request, number, Result(api.Outcome.CONNECT_FAILED))
+            return
+        if (request.over or left_us <= 0 or action.timeout_us < 0
                 or number >= request.pools[0].settings.max_attempts
                 or not self._may_place(attempt, address, request.call)):
             self._end_attempt(request, number, Result(api.Outcome.NOT_SENT))
--- a/plovertrail/logs.py
+++ b/plovertrail/logs.py
@@ -6,7 +6,8 @@
 import sys
 import time
 
-LINES_A_SECOND = 5
+LINES_A_SECOND = 5.0
+LINES_AT_ONCE = 20.0  # a start with a reload behind it says about ten things in a second
 
 
 class RateLimit(logging.Filter):
@@ -14,15 +15,17 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.second = 0
-        self.lines = 0
+        self.left = LINES_AT_ONCE
+        self.at = time.monotonic()
 
     def filter(self, record: logging.LogRecord) -> bool:
-        second = int(time.monotonic())
-        if second != self.second:
-            self.second, self.lines = second, 0
-        self.lines += 1
-        return self.lines <= LINES_A_SECOND
+        now = time.monotonic()
+        self.left = min(LINES_AT_ONCE, self.left + (now - self.at) * LINES_A_SECOND)
+        self.at = now
+        if self.left < 1.0:
+            return False
+        self.left -= 1.0
+        return True
 
 
 def log_to_stderr() -> None:
--- /dev/null
+++ b/plovertrail/recovery_keeper.py
@@ -0,0 +1,125 @@
+"""Brings a daemon back that stood still: nothing is sent until its lists have been read again."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+from plovertrail.clock import clock_us
+from plovertrail.decisions.recovery import LONGEST_CATCH_UP_US, Phase, Recovery
+from plovertrail.host import Host
+from plovertrail.pulse import PulseLoop
+from plovertrail.roster import Roster
+from plovertrail.sources.files import FileWatch
+
+log = logging.getLogger(__name__)
+
+TURNS = 10  # of the loop, for what lies on sockets already: a call for a drain takes four
+UNSETTLED_S = 0.05  # between two looks at a file that was changed a moment ago
+
+
+def source_name(pool: str, source: str) -> str:
+    """A source as operators are told of it."""
+    return f"{pool}: {source}"
+
+
+class RecoveryKeeper:
+    """The phase of one daemon. `settled` waits until no reload is under way."""
+
+    def __init__(self, host: Host, rosters: Callable[[], Mapping[str, Roster]],
+                 settled: Callable[[], Awaitable[None]]) -> None:
+        self.host = host
+        self.rosters = rosters
+        self.settled = settled
+        self.recovery = Recovery(clock_us())
+        self.again = False  # it stood still once more while it caught up
+        self.task: asyncio.Task[None] | None = None
+        loop = host.loop
+        if isinstance(loop, PulseLoop):
+            loop.beat.on_gap = self.stood_still
+            host.stale = loop.stale
+
+    def watches(self) -> dict[str, FileWatch]:
+        """All sources that are watched."""
+        return {source_name(name, watch.source.name): watch
+                for name, roster in self.rosters().items() for watch in roster.watches.values()}
+
+    def follow(self) -> None:
+        """A setup has come into force; its lists have been read once."""
+        now_us = clock_us()
+        for name, roster in self.rosters().items():
+            for source in roster.watches.values():
+                wrong = roster.unreadable.get(source.source.name, "")
+                self.recovery.told(source_name(name, source.source.name), wrong, now_us)
+        before = self.recovery.phase
+        self.recovery.begin(self.watches(), now_us)
+        self.changed(before)
+
+    def told(self, pool: str, source: str, wrong: str) -> None:
+        """A watched source was read: it gave a list, or this is wrong with it."""
+        before = self.recovery.phase
+        self.recovery.told(source_name(pool, source), wrong, clock_us())
+        self.changed(before)
+
+    def stood_still(self, gap_us: int) -> None:
+        """The process did nothing for so long; called before anything is acted on."""
+        self.host.hold(gap_us)
+        before = self.recovery.phase
+        self.recovery.stood_still(gap_us, self.watches(), clock_us())
+        self.changed(before)
+        self.again = True
+        if self.task is None or self.task.done():
+            self.task = self.host.loop.create_task(self._catch_up())
+
+    async def _catch_up(self) -> None:
+        try:
+            while self.again:
+                self.again = False
+                try:
+                    async with asyncio.timeout(LONGEST_CATCH_UP_US / 1e6):
+                        for _ in range(TURNS):
+                            await asyncio.sleep(0)
+                        await asyncio.gather(*(self._read(*each) for each in self.watches().items()))
+                        await self.settled()
+                except TimeoutError:
+                    log.error("not all lists could be read again in time; the rest serves")
+        except Exception:
+            log.exception("the lists could not be read again")
+        finally:
+            # hazard: whatever goes wrong on the way, held for good the daemon would answer nobody
+            before = self.recovery.phase
+            self.recovery.caught_up(clock_us())
+            self.changed(before)
+            self.host.go_on()
+
+    async def _read(self, name: str, watch: FileWatch) -> None:
+        """Until the file has settled. Hazard: of one that is written at this moment the last good list would
+        hold, without the drain that it was written for."""
+        while not await watch.look():
+            await asyncio.sleep(UNSETTLED_S)
+        self.recovery.told(name, watch.complaint, clock_us())
+
+    def changed(self, before: Phase) -> None:
+        """One line for each change of phase."""
+        now = self.recovery
+        if now.phase is not before:
+            if now.phase is Phase.FULL:
+                log.info("phase: full, after %.3f s (%s)", (now.to_full_us or 0) / 1e6, now.why)
+            else:
+                log.warning("phase: %s (%s)", now.phase.value, now.why)
+
+    def status(self) -> dict[str, Any]:
+        """For operators."""
+        now, clock = self.recovery, clock_us()
+        return {"phase": now.phase.value, "since_s": round((clock - now.since_us) / 1e6, 3), "why": now.why,
+                "missing": dict(sorted(now.missing.items())), "waiting": sorted(now.waiting),
+                "to_full_s": None if now.to_full_us is None else round(now.to_full_us / 1e6, 3),
+                "gaps": now.gaps, "longest_gap_s": round(now.longest_gap_us / 1e6, 3)}
+
+    def stop(self) -> None:
+        """The daemon ends: what is held goes on, to be answered."""
+        if self.task is not None:
+            self.task.cancel()
+        self.host.go_on()
--- a/plovertrail/roster.py
+++ b/plovertrail/roster.py
@@ -42,6 +42,8 @@
         self.state = state
         self.elsewhere = elsewhere
         self.changed = changed  # called after each step that changed the state
+        # called with a source that was read, and what is wrong with it
+        self.heard: Callable[[str, str], None] = lambda source, wrong: None
         self.guards = Guards()
         self.order: tuple[str, ...] = ()
         self.home_zone = ""
@@ -93,6 +95,7 @@
             self.unreadable.pop(candidate.source, None)
             if candidate.source not in self.order:
                 return
+            self.heard(candidate.source, "")
             before = self.state
             step = await asyncio.to_thread(self._reduced, before, candidate)
             if self.state is before:
@@ -104,6 +107,7 @@
         """A source has no list that can be used: the last good one stays."""
         if source in self.order:
             self.unreadable[source] = why
+            self.heard(source, why)
             self.speak()
 
     def _reduced(self, state: State, candidate: Candidate | None) -> Step:
--- a/plovertrail/sources/files.py
+++ b/plovertrail/sources/files.py
@@ -170,6 +170,7 @@
         self.poke = asyncio.Event()
         self.again = False  # the list is to be passed on though it is not new: it may be judged otherwise now
         self.complaint = ""  # the last one that was passed on, if no list has been since
+        self.looking = asyncio.Lock()
         self.tasks = [asyncio.create_task(self._poll()), asyncio.create_task(self._notified())]
 
     async def _poll(self) -> None:
@@ -179,8 +180,13 @@
                 await asyncio.wait_for(self.poke.wait(), POLL_S)
             self.poke.clear()
 
-    async def look(self) -> None:
-        """Read the source once, off the loop."""
+    async def look(self) -> bool:
+        """Read the source once, off the loop; whether it has settled. Hazard: a look that began before the
+        process stood still ends after it, with what the file held before."""
+        async with self.looking:
+            return await self._look()
+
+    async def _look(self) -> bool:
         try:
             new, candidate = await asyncio.to_thread(self.source.read, time.monotonic())
         except (BadList, OSError) as error:
@@ -195,6 +201,8 @@
             if candidate is not None and (new or self.again or self.complaint):
                 self.again, self.complaint = False, ""
                 await self.taken(candidate)
+            return candidate is not None
+        return True
 
     async def _notified(self) -> None:
         """Look at once where the system tells of a change; where it doesn't, the poll is enough."""
--- a/plovertrail/upstreams/connections.py
+++ b/plovertrail/upstreams/connections.py
@@ -118,7 +118,9 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.set_write_buffer_limits(high=0)  # so that we are told whether all has been written
-        if self.forgotten:  # hazard: what drains gets nothing new, however long ago the attempt began
+        # hazard: what drains gets nothing new, however long ago the attempt began; and a process that was
+        # stopped in this turn doesn't know yet what drains
+        if self.forgotten or (self.attempt is not None and self.pool.stale()):
             attempt, self.attempt = self.attempt, None
             self.close()
             if attempt is not None:
@@ -344,6 +346,7 @@
         self.connections: dict[int, set[Connection]] = {}  # all there are, also those coming up
         self.idle: dict[int, list[Connection]] = {}
         self.dials: set[asyncio.Task[None]] = set()
+        self.stale: Callable[[], bool] = lambda: False  # the turn under way began too long ago to act on
         self.sweeper: asyncio.TimerHandle | None = None  # set while there are idle connections
 
     def start(self, upstream: int, address: Address, call: Call, timeout_us: int,
--- /dev/null
+++ b/standins/cluster/instances.py
@@ -0,0 +1,168 @@
+"""Processes of the real daemon: started, stopped, woken, killed, each with a folder of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from standins.ports import free_port
+
+PATIENCE_S = 30.0
+SITE = """
+[daemon]
+control_socket = "{folder}/control"
+{state}
+[limits]
+max_body = "64KiB"
+[listeners.web]
+address = "127.0.0.1:{port}"
+max_connections = 512
+[classes.buy]
+effect = "unsafe"
+aim = "{aim}"
+deadline = "{deadline}"
+[classes.read]
+effect = "safe"
+aim = "{aim}"
+deadline = "{deadline}"
+[pools.main]
+servers_from = ["{servers}"]
+[[routes]]
+name = "buy"
+path = "/buy"
+class = "buy"
+pools = ["main"]
+[[routes]]
+name = "read"
+class = "read"
+pools = ["main"]
+"""
+
+
+@dataclass(eq=False)
+class Instance:
+    """One daemon. `stopped` and `killed` keep when (by the monotonic clock) each began and ended."""
+
+    number: int
+    folder: Path
+    servers: Path  # its list of servers
+    aim: str = "1s"
+    deadline: str = "3s"
+    state: bool = True  # it has a lasting disk
+    most_file: int = 0  # bytes of a file that its disk takes, 0: any
+    port: int = 0
+    process: subprocess.Popen[bytes] | None = None
+    stopped: list[list[float]] = field(default_factory=list)
+    killed: list[list[float]] = field(default_factory=list)
+
+    @property
+    def control(self) -> str:
+        return f"{self.folder}/control"
+
+    @property
+    def pid(self) -> int:
+        assert self.process is not None
+        return self.process.pid
+
+    def write(self) -> Path:
+        """Its operator's file."""
+        self.folder.mkdir(exist_ok=True)
+        self.port = self.port or free_port()
+        state = f'state_file = "{self.folder}/state"' if self.state else ""
+        path = self.folder / "site.toml"
+        path.write_text(SITE.format(folder=self.folder, state=state, port=self.port, aim=self.aim,
+                                    deadline=self.deadline, servers=self.servers))
+        return path
+
+    def start(self) -> None:
+        """A new process; what its disk holds is as the last one left it."""
+        path = self.write()
+
+        def bounded() -> None:
+            if self.most_file:
+                signal.signal(signal.SIGXFSZ, signal.SIG_IGN)  # a full disk is an error, not the end
+                resource.setrlimit(resource.RLIMIT_FSIZE, (self.most_file, self.most_file))
+
+        with open(self.folder / "log", "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "plovertrail.cli", "serve", str(path)], stderr=log,
+                stdin=subprocess.DEVNULL, env=os.environ | {"PYTHONUNBUFFERED": "1"}, preexec_fn=bounded)
+        for span in self.killed:
+            span[1] = min(span[1], time.monotonic())
+
+    async def ready(self) -> None:
+        """Until it serves in full."""
+        ends = time.monotonic() + PATIENCE_S
+        while time.monotonic() < ends:
+            assert self.process is not None
+            if self.process.poll() is not None:
+                raise RuntimeError(f"instance {self.number} has ended: {self.log()[-2000:]}")
+            status = await self.status()
+            if status and status["recovery"]["phase"] == "full":
+                return
+            await asyncio.sleep(0.02)
+        raise RuntimeError(f"instance {self.number} is not ready: {self.log()[-2000:]}")
+
+    async def ask(self, **what: str) -> dict[str, Any]:
+        """One call on its control socket; nothing while it doesn't answer."""
+        try:
+            async with asyncio.timeout(5.0):
+                reader, writer = await asyncio.open_unix_connection(self.control, limit=1 << 24)
+                try:
+                    writer.write(json.dumps(what).encode() + b"\n")
+                    answer: dict[str, Any] = json.loads(await reader.readline() or b"{}")
+                    return answer
+                finally:
+                    writer.close()
+        except (OSError, TimeoutError, ValueError):
+            return {}
+
+    async def status(self) -> dict[str, Any]:
+        found: dict[str, Any] = (await self.ask(do="status")).get("status", {})
+        return found
+
+    def stop(self) -> None:
+        """It stands still."""
+        os.kill(self.pid, signal.SIGSTOP)
+        self.stopped.append([time.monotonic(), float("inf")])
+
+    def wake(self) -> None:
+        self.stopped[-1][1] = time.monotonic()
+        os.kill(self.pid, signal.SIGCONT)
+
+    def kill(self) -> None:
+        """It dies at once, with all that it holds."""
+        assert self.process is not None
+        self.killed.append([time.monotonic(), float("inf")])
+        self.process.kill()
+        self.process.wait()
+
+    def lose_state(self) -> None:
+        """Its disk is gone."""
+        (self.folder / "state").unlink(missing_ok=True)
+
+    def log(self) -> str:
+        return (self.folder / "log").read_text(errors="replace")
+
+    def end(self) -> int | None:
+        """SIGTERM, and what it exits with; None: it had to be killed."""
+        if self.process is None or self.process.poll() is not None:
+            return None
+        if self.stopped and self.stopped[-1][1] == float("inf"):
+            self.wake()
+        self.process.terminate()
+        try:
+            return self.process.wait(PATIENCE_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+            return None
--- /dev/null
+++ b/standins/cluster/relay.py
@@ -0,0 +1,160 @@
+"""Relays between processes: what goes through is dropped, delayed, repeated, reordered, slowed or cut."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+Address = tuple[str, int]
+CHUNK = 64 * 1024
+MOST_HELD = 1024  # datagrams on their way through one relay; more are dropped, as a full queue would
+
+
+@dataclass
+class Way:
+    """What becomes of what goes one way. A cut link says nothing: connections stay open and silent, and what
+    was sent comes once it is mended, as with TCP's repeats; datagrams are gone."""
+
+    delay_s: float = 0.0
+    jitter_s: float = 0.0  # up to so much more, drawn for each piece
+    loss: float = 0.0  # share of datagrams that get lost
+    repeats: float = 0.0  # share of datagrams that come twice
+    reordered: float = 0.0  # share of datagrams that come after the next ones
+    bytes_per_s: float = 0.0  # 0: as fast as it goes
+    open: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def __post_init__(self) -> None:
+        self.open.set()
+
+    def cut(self) -> None:
+        self.open.clear()
+
+    def mend(self) -> None:
+        self.open.set()
+
+    def wait_s(self, rng: random.Random, size: int) -> float:
+        """For how long a piece is held."""
+        slow_s = size / self.bytes_per_s if self.bytes_per_s else 0.0
+        return self.delay_s + self.jitter_s * rng.random() + slow_s
+
+
+@dataclass(eq=False)
+class TcpRelay:
+    """Listens on a loopback port of the system's choice, and connects each caller to `target`."""
+
+    target: Address
+    rng: random.Random
+    forth: Way = field(default_factory=Way)  # from the callers to the target
+    back: Way = field(default_factory=Way)
+    refusing: bool = False  # new connections are reset, and so were those that were open
+    port: int = 0
+    connections: int = 0
+    server: asyncio.Server | None = None
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=1024)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        self.writers.add(writer)
+        self.connections += 1
+        try:
+            if self.refusing:
+                return
+            await self.forth.open.wait()
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+            self.writers.add(far_writer)
+            try:
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self.pump(reader, far_writer, self.forth))
+                    group.create_task(self.pump(far_reader, writer, self.back))
+            finally:
+                self.writers.discard(far_writer)
+                far_writer.transport.abort()
+        except* (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.transport.abort()
+
+    async def pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, way: Way) -> None:
+        """One direction, to its end; the end is passed on, a reset as a reset of both."""
+        while data := await reader.read(CHUNK):
+            held_s = way.wait_s(self.rng, len(data))
+            if held_s:
+                await asyncio.sleep(held_s)
+            await way.open.wait()
+            writer.write(data)
+            await writer.drain()
+        await way.open.wait()
+        if writer.can_write_eof():
+            writer.write_eof()
+
+    def reset(self) -> None:
+        """Break all that is open."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        self.reset()
+        for task in list(self.tasks):
+            task.cancel()
+
+
+class UdpRelay(asyncio.DatagramProtocol):
+    """One way of datagrams: what reaches its port goes on to `target`, through `out` if that is set, else
+    from its own socket, which the target then sees as the sender."""
+
+    def __init__(self, target: Address, rng: random.Random, way: Way | None = None) -> None:
+        self.target = target
+        self.rng = rng
+        self.way = way or Way()
+        self.transport: asyncio.DatagramTransport | None = None
+        self.out: Callable[[bytes, Address], None] | None = None  # how it leaves; None: from this socket
+        self.port = 0
+        self.passed = self.lost = 0
+        self.held = 0
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=("127.0.0.1", 0))
+        self.port = self.transport.get_extra_info("sockname")[1]
+
+    def datagram_received(self, data: bytes, address: Address) -> None:
+        way = self.way
+        if not way.open.is_set() or self.rng.random() < way.loss or self.held >= MOST_HELD:
+            self.lost += 1
+            return
+        copies = 2 if self.rng.random() < way.repeats else 1
+        for _ in range(copies):
+            wait_s = way.wait_s(self.rng, len(data))
+            if self.rng.random() < way.reordered:
+                wait_s += 2 * (way.delay_s + way.jitter_s) + 0.01
+            self.held += 1
+            asyncio.get_running_loop().call_later(wait_s, self.leave, data)
+
+    def leave(self, data: bytes) -> None:
+        self.held -= 1
+        self.passed += 1
+        if self.out is not None:
+            self.out(data, self.target)
+        elif self.transport is not None:
+            self.transport.sendto(data, self.target)
+
+    def stop(self) -> None:
+        if self.transport is not None:
+            with suppress(OSError):
+                self.transport.close()
+            self.transport = None
--- /dev/null
+++ b/standins/cluster/servers.py
@@ -0,0 +1,91 @@
+"""Servers that write down what reaches them, and the list that tells of them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from plovertrail.sources.lists import sealed
+from standins.web import NOT_RUN, OK, Arrival, Line, WebServer
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A request that reached a server, by the monotonic clock; `ran`: it was not turned away."""
+
+    at: float
+    ident: str
+    unsafe: bool
+    ran: bool
+
+
+@dataclass(eq=False)
+class Shop:
+    """A server; `told_drain` is when its list said that it drains."""
+
+    name: str
+    answer_s: float = 0.02
+    slots: int = 64  # at once; more are turned away
+    silent: bool = False
+    runs: list[Run] = field(default_factory=list)
+    told_drain: float = float("inf")
+    open: int = 0
+    most_open: int = 0
+    web: WebServer = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.web = WebServer(self.script, self.name, keep=False)
+
+    async def script(self, server: WebServer, arrival: Arrival, line: Line) -> bytes:
+        ident = arrival.all("X-Request-Id")[0].decode()
+        ran = self.open < self.slots
+        self.runs.append(Run(time.monotonic(), ident, arrival.method == b"POST", ran))
+        if not ran:
+            return NOT_RUN
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        try:
+            await asyncio.sleep(self.answer_s)
+            return b"" if self.silent else OK
+        finally:
+            self.open -= 1
+
+    def worst_second(self) -> int:
+        """The most requests that reached it within one second."""
+        most = first = 0
+        for last, run in enumerate(self.runs):
+            while self.runs[first].at <= run.at - 1.0:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+
+@dataclass(eq=False)
+class ServerList:
+    """A file that an instance watches; it is replaced whole. Each server is listed at the relay before it, if
+    there is one."""
+
+    path: Path
+    shops: list[Shop]
+    ports: dict[str, int] = field(default_factory=dict)  # where a server is listed, if not at its own port
+    gone: set[str] = field(default_factory=set)
+
+    def write(self) -> None:
+        lines = [f"127.0.0.1:{self.ports.get(shop.name, shop.web.port)} id={shop.name} drain="
+                 f"{'true' if shop.told_drain < float('inf') else 'false'}"
+                 for shop in self.shops if shop.name not in self.gone]
+        beside = self.path.with_suffix(".tmp")
+        beside.write_bytes(sealed(self.path.name, ("\n".join(lines) + "\n").encode()))
+        os.replace(beside, self.path)
+
+    def drain(self, shop: Shop) -> None:
+        """The word that it drains: from now on nothing new may go there, within 2 s."""
+        shop.told_drain = time.monotonic()
+        self.write()
+
+    def undrain(self, shop: Shop) -> None:
+        shop.told_drain = float("inf")
+        self.write()
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -6,4 +6,5 @@
 python -m ruff check .
 python -m mypy
 lint-imports --no-cache
-python -m pytest
+# what waits in real time waits beside other tests; a file stays with one worker
+python -m pytest -n 4 --dist loadfile
--- /dev/null
+++ b/tests/decisions/test_recovery.py
@@ -0,0 +1,117 @@
+"""Phases of an instance, and how a process that stood still is told from an idle one."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plovertrail.decisions.recovery import (
+    LONGEST_CATCH_UP_US,
+    PIECES,
+    STOOD_STILL_US,
+    Phase,
+    Pulse,
+    Recovery,
+)
+
+S = 1_000_000
+
+
+def full(*sources: str) -> Recovery:
+    recovery = Recovery(0)
+    for source in sources:
+        recovery.told(source, "", 0)
+    recovery.begin(sources, 10)
+    assert recovery.phase is Phase.FULL
+    return recovery
+
+
+def test_an_idle_wait_is_no_gap_and_a_longer_one_is() -> None:
+    pulse = Pulse(0)
+    assert pulse.waits(1000, 250_000) == 0
+    assert pulse.woke(251_000 + STOOD_STILL_US) == 0  # a machine that is busy
+    assert pulse.waits(800_000, 250_000) == 0
+    assert pulse.woke(5 * S) == 5 * S - 1_050_000
+
+
+def test_a_turn_that_is_stopped_is_seen_while_it_lasts_and_at_its_end() -> None:
+    pulse = Pulse(0)
+    pulse.waits(0, 0)
+    pulse.woke(0)
+    assert not pulse.stale(STOOD_STILL_US) and pulse.stale(STOOD_STILL_US + 1)
+    assert pulse.waits(4 * S, 1000) == 4 * S
+
+
+def test_nothing_is_sent_until_all_sources_were_read_again() -> None:
+    recovery = full("a", "b")
+    assert recovery.may_send and recovery.to_full_us == 10
+    recovery.stood_still(4 * S, ["a", "b"], 5 * S)
+    assert recovery.phase is Phase.CATCHING_UP and not recovery.may_send
+    recovery.told("a", "", 5 * S + 10)
+    assert not recovery.may_send
+    recovery.told("b", "", 5 * S + 20_000)
+    assert not recovery.may_send  # a call for a drain may still lie on a socket
+    recovery.caught_up(5 * S + 30_000)
+    assert recovery.phase is Phase.FULL and recovery.to_full_us == 30_000
+    assert recovery.gaps == 1 and recovery.longest_gap_us == 4 * S
+
+
+def test_a_source_that_gives_nothing_is_missing_and_the_rest_serves() -> None:
+    recovery = full("a", "b")
+    recovery.stood_still(S, ["a", "b"], 2 * S)
+    recovery.told("a", "", 2 * S)
+    assert recovery.catch_up_ends_us() == 2 * S + LONGEST_CATCH_UP_US
+    recovery.caught_up(3 * S)
+    assert recovery.phase.value == "serving in part" and list(recovery.missing) == ["b"]
+    recovery.told("b", "", 9 * S)
+    assert recovery.phase is Phase.FULL and recovery.to_full_us == 7 * S
+
+
+def test_a_list_that_can_not_be_used_sends_a_full_one_back_and_a_setup_without_it_ends_that() -> None:
+    recovery = full("a", "b")
+    recovery.told("b", "half written", 2 * S)
+    assert recovery.phase.value == "serving in part" and recovery.since_us == 2 * S
+    recovery.begin(["a"], 3 * S)
+    assert recovery.phase is Phase.FULL and not recovery.missing
+
+
+def test_what_is_read_before_the_setup_is_whole_sends_nothing_yet() -> None:
+    recovery = Recovery(0)
+    recovery.told("a", "", 5)
+    assert recovery.phase is Phase.STARTING and not recovery.may_send
+
+
+SOURCES = st.sampled_from("abc")
+STEP = st.one_of(
+    st.tuples(st.just("told"), SOURCES, st.sampled_from(["", "it is empty"])),
+    st.tuples(st.just("gap"), st.integers(STOOD_STILL_US, 100 * S)),
+    st.tuples(st.just("time")),
+    st.tuples(st.just("setup"), st.sets(SOURCES)),
+)
+
+
+@given(st.lists(STEP, max_size=30))
+def test_in_any_order_it_sends_only_with_nothing_left_to_read_and_is_never_held_for_good(
+        steps: list[tuple[object, ...]]) -> None:
+    recovery, now_us, listed = Recovery(0), 0, {"a", "b", "c"}
+    recovery.begin(listed, 0)
+    for what, *rest in steps:
+        now_us += S
+        if what == "told":
+            recovery.told(str(rest[0]), str(rest[1]), now_us)
+        elif what == "gap":
+            recovery.stood_still(int(str(rest[0])), listed, now_us)
+            assert not recovery.may_send
+        elif what == "setup":
+            listed = rest[0]  # type: ignore[assignment]
+            recovery.begin(listed, now_us)
+        else:
+            recovery.caught_up(now_us)
+            assert recovery.may_send
+        assert not (recovery.may_send and recovery.waiting)
+        assert not recovery.may_send or (recovery.phase is Phase.FULL) == (not recovery.missing)
+
+
+def test_the_table_of_state_has_each_piece_once_and_says_what_is_done_without_it() -> None:
+    assert len({piece.name for piece in PIECES}) == len(PIECES)
+    assert all(piece.from_where and piece.oldest and piece.meanwhile for piece in PIECES)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -7,20 +7,17 @@
 import struct
 import subprocess
 import sys
-import tomllib
 from pathlib import Path
 
 import pytest
 
+from tests.deployed import DEPLOY, ROOT, build
 from tests.simulator.test_wire import EMPTY, LIST, batch, power_on
 
-ROOT = Path(__file__).resolve().parent.parent
-DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-
 
 @pytest.fixture(scope="module")
 def sim() -> str:
-    subprocess.run(["/bin/sh", "-c", DEPLOY["build"]], cwd=ROOT, check=True, timeout=300)
+    build()
     return str(DEPLOY["sim"])
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,7 +10,6 @@
 import subprocess
 import sys
 import time
-import tomllib
 from collections.abc import Iterator
 from contextlib import contextmanager
 from importlib.util import cache_from_source
@@ -20,15 +19,13 @@
 import pytest
 
 from plovertrail.config.platform import Config, flatten, load
+from tests.deployed import DEPLOY, ROOT, build
 from tests.net import OK, PATIENCE_S, SETTINGS, Upstream, configuration, entry, listing, read_message, request
 
-ROOT = Path(__file__).resolve().parent.parent
-DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-
 
 @contextmanager
 def program(path: Path) -> Iterator[subprocess.Popen[bytes]]:
-    subprocess.run(["/bin/sh", "-c", DEPLOY["build"]], cwd=ROOT, check=True, timeout=600)
+    build()
     plain = {k: v for k, v in os.environ.items() if not k.startswith(("PYTHON", "VIRTUAL_ENV"))}
     process = subprocess.Popen(["/bin/sh", "-c", DEPLOY["run"]], cwd=ROOT, stderr=subprocess.PIPE,
                                env=plain | {"BALANCER_CONFIG": str(path)})
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -152,7 +152,7 @@
     async def test() -> None:
         async with sidecar(Upstream(answering(OK))) as it:
             assert status(await it.ask(request(ident="1", extra="X-Key: 5\r\n"))) == 500
-            assert status(await it.ask(request(ident="2", deadline_ms=300, extra="X-Retry: 1\r\n"))) == 500
+            assert status(await it.ask(request(ident="2", deadline_ms=300, extra="X-Retry: 1\r\n"))) == 503
             assert status(await it.ask(request(ident="3"))) == 200
 
     run(test)
