Upstreams that answered faster while cold stay in use once they are warm

Of 3,000 requests a second 2,000 were thinned, as the answers that a sidecar sees were slow. Ruled out: connections (20 refused a second at most, none in the end), slots (next to none short of one), reissues (in hand 5.0), resting and distrusted ones (0.1 and 2 a sidecar). At fault: open_rested in balance.py. What ends its warm-up went behind those in use, which stay as long as one has a slot free, however slow.

One whose answers were faster than this sidecar's usual ones goes in use when it is warm.

--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -521,7 +521,7 @@
         while True:
             for front in fronts:
                 front.stop_idle()
-            # hazard: a socket whose client has gone first still closes at its server, and has its line to write
+            # hazard: a socket whose client has gone first still closes at its server, and has a line to write
             if not (self.count() or self.sockets.table.sockets) or self.loop.time() >= ends:
                 break
             await asyncio.sleep(0.01)
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -580,8 +580,12 @@
         while self.rests and self.rests[0][0] <= self.now_us:
             server = self.servers.get(heapq.heappop(self.rests)[1])
             if server is not None:
-                if self.warmth(server) >= 1.0:
+                if self.warmth(server) >= 1.0 and server.entry.id in server.pool.cold:
                     server.pool.cold.discard(server.entry.id)
+                    # hazard: with half of a fleet new all sidecars would crowd the old ones, each known to it
+                    # and slow but with a slot free, and what it saw the new ones answer faster would be lost
+                    if server.pace < 1.0:
+                        self.use(server, True)
                 self.weigh(server)
         for index, heap in enumerate(self.mutes):
             while heap and heap[0][0] <= self.now_us:
