--- a/tests/decisions/fleet.py
+++ b/tests/decisions/fleet.py
@@ -1,4 +1,4 @@
-"""Forty balancers and their upstreams on a virtual clock, counted and held to the rules over all of them.
+"""Many balancers and their upstreams on a virtual clock, counted and held to the rules over all of them.
 
 Upstreams serve one request at a time, turn away what would wait too long, and take only so many connections;
 balancers keep a connection for each answer's next request. All of it is drawn from a seed.
@@ -70,6 +70,8 @@
         self.tries: dict[int, int] = {}
         self.ended: Counter[str] = Counter()
         self.outcomes: Counter[Outcome] = Counter()
+        self.busy, self.busy_part = -1, 0.0  # a sidecar that has this share of all requests for itself
+        self.of_busy: Counter[str] = Counter()
         for number in range(sidecars):
             listed = [server.entry for server in self.servers.values()]
             self.tell(number, UpstreamsUpdated(ListKind.FULL, listed))
@@ -113,9 +115,11 @@
                 self.servers[action.upstream].connections -= self.idle.pop((sidecar, action.upstream), 0)
 
     def answer(self, request: int, how: str) -> None:
-        _, event = self.owed.pop(request)  # rule 1: raises on a second answer
+        sidecar, event = self.owed.pop(request)  # rule 1: raises on a second answer
         assert self.now_us <= event.due_us + 4 * self.settings.tick_us, "rule 1: answered late"
         self.ended[how] += 1
+        if sidecar == self.busy:
+            self.of_busy[how] += 1
 
     def send(self, sidecar: int, send: Send) -> None:
         server, now_us = self.servers[send.upstream], self.now_us
@@ -173,6 +177,8 @@
             self.run(at_us)
             index = self.random.randrange(len(self.settings.classes))
             sidecar = self.random.randrange(len(self.balancers))
+            if self.busy_part and self.random.random() < self.busy_part:
+                sidecar = self.busy
             self.asked += 1
             due_us = self.now_us + self.settings.classes[index].deadline_us
             event = RequestArrived(self.asked, due_us, index)
