benchmarks.coming_back: most instances killed, emptied or stopped at one moment

How long a fleet takes back to full service, and what its return does to one server, had no figure. Six cases on the rig of processes (killed with and without state, while servers drain, again while starting; stopped while a server drains, with and without what notices the gap), with the time to 95 % of what was served before, the worst second at one server and all rules over all processes. Servers of the rig queue before they turn away.

--- /dev/null
+++ b/benchmarks/coming_back.py
@@ -0,0 +1,162 @@
+"""Instances that die, lose their state or stand still, all at once: `python -m benchmarks.coming_back`.
+
+Processes of the daemon with relays between them and their servers (standins/cluster), clients with an open
+loop, one play a case. Told for each: how long until 95 % of what was served before is served again, the worst
+second at one server beside its worst one before, what was refused. Bar: nothing lost, doubled, made up or sent
+to a drained server in any case but `stood still, plain loop`, which is the same play without what notices a
+gap, to compare with.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from benchmarks.report import Bar, close, table
+from standins.cluster.judge import Verdict
+from standins.cluster.load import Sent
+from standins.cluster.play import Cluster, cluster
+from standins.cluster.schedule import Schedule, checked
+
+FAULT_S = 4.0
+BACK_S = 0.5  # from a kill to the processes' start
+STILL_S = 4.0  # for how long a process stands still
+WINDOW_S = 0.5
+SERVED_AGAIN = 0.95
+SERVERS = 8
+SLOTS = 2  # of one server
+ANSWER_S = 0.04
+LOAD = 0.6  # of what the servers can do
+
+
+@dataclass(frozen=True)
+class Case:
+    """A kind of outage: events from the fault on, by its time."""
+
+    name: str
+    events: tuple[dict[str, Any], ...]
+    begins_s: float  # from the fault to the processes' being there again
+    plain_loop: bool = False
+
+
+def most_of(instances: int) -> list[int]:
+    """Seven in ten."""
+    return list(range(max(1, instances * 7 // 10)))
+
+
+def cases(instances: int) -> list[Case]:
+    down = most_of(instances)
+    killed = {"at": 0.0, "do": "kill", "instances": down}
+    started = {"at": BACK_S, "do": "start", "instances": down}
+    lost = {"at": 0.1, "do": "lose_state", "instances": down}
+    again = {"at": BACK_S + 0.3, "do": "kill", "instances": down}
+    more = {"at": BACK_S + 0.8, "do": "start", "instances": down}
+    drained = {"at": 0.2, "do": "drain", "servers": [1, 2]}
+    still = ({"at": 0.0, "do": "stop", "instances": down}, {"at": 0.5, "do": "drain", "servers": [1]},
+             {"at": STILL_S, "do": "wake", "instances": down})
+    return [
+        Case("killed, with state", (killed, started), BACK_S),
+        Case("killed, state lost", (killed, lost, started), BACK_S),
+        Case("killed, two servers drained meanwhile", (killed, drained, started), BACK_S),
+        Case("killed again while starting", (killed, started, again, more), BACK_S + 0.8),
+        Case("stood still, one server drained meanwhile", still, STILL_S),
+        Case("stood still, plain loop", still, STILL_S, plain_loop=True),
+    ]
+
+
+def schedule(case: Case, instances: int, seed: int, after_s: float) -> Schedule:
+    events = [event | {"at": FAULT_S + event["at"]} for event in case.events]
+    return checked({
+        "seed": seed, "seconds": FAULT_S + case.begins_s + after_s, "instances": instances,
+        "servers": SERVERS, "per_s": LOAD * SERVERS * SLOTS / ANSWER_S, "deadline_s": 3.0,
+        "plain_loop": case.plain_loop, "slots": SLOTS, "answer_s": ANSWER_S, "events": events})
+
+
+def served_part(sent: Sequence[Sent], begins: float, ends: float) -> float:
+    """Of what was sent in between."""
+    found = [one for one in sent if begins <= one.sent < ends]
+    return sum(one.status == 200 for one in found) / len(found) if found else 0.0
+
+
+def back_after_s(sent: Sequence[Sent], start: float, end: float, part: float) -> float:
+    """From when on this part is served in each window to the end; the whole time if it never is."""
+    at, back = end, end
+    while at - WINDOW_S >= start:
+        at -= WINDOW_S / 5
+        if served_part(sent, at, at + WINDOW_S) < part:
+            break
+        back = at
+    return back - start
+
+
+@dataclass(frozen=True)
+class Told:
+    """One play's figures."""
+
+    verdict: Verdict
+    before: float
+    back_s: float
+    worst: int
+    worst_before: int
+    gaps: int
+
+
+async def played(case: Case, instances: int, seed: int, after_s: float, folder: Path) -> Told:
+    plan = schedule(case, instances, seed, after_s)
+    async with cluster(plan, folder) as it:
+        verdict = await it.play()
+        statuses = await asyncio.gather(*(each.status() for each in it.instances))
+        return told(it, case, verdict, sum(each.get("recovery", {}).get("gaps", 0) for each in statuses))
+
+
+def told(it: Cluster, case: Case, verdict: Verdict, gaps: int) -> Told:
+    fault = it.begins + FAULT_S
+    start, end = fault + case.begins_s, it.begins + it.schedule.seconds - 0.2
+    sent = it.load.sent
+    before = served_part(sent, it.begins + 1.0, fault)
+    worst_before = max(shop.worst_second(until=fault) for shop in it.shops)
+    return Told(verdict, before, back_after_s(sent, start, end, SERVED_AGAIN * before),
+                max(shop.worst_second(since=fault) for shop in it.shops), worst_before, gaps)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.coming_back")
+    parser.add_argument("--instances", type=int, default=24)
+    parser.add_argument("--seconds", type=float, default=8.0, help="after the processes are there again")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--case", type=int, help="one case only, by its place")
+    asked = parser.parse_args()
+    found = cases(asked.instances)
+    if asked.case is not None:
+        found = found[asked.case:asked.case + 1]
+    rows: list[list[object]] = []
+    figures: dict[str, object] = {}
+    broken = 0
+    for case in found:
+        with tempfile.TemporaryDirectory() as folder:
+            each = asyncio.run(played(case, asked.instances, asked.seed, asked.seconds, Path(folder)))
+        rules = [line for line in each.verdict.broken if not line.startswith("late")]
+        late = len(each.verdict.broken) - len(rules)
+        counts = each.verdict.counts
+        rows.append([case.name, each.before, each.back_s, each.worst_before, each.worst, counts["refused"],
+                     counts["failed"], late, len(rules), each.gaps])
+        figures[case.name] = {"served_before": round(each.before, 3), "back_s": round(each.back_s, 2),
+                              "worst_second_before": each.worst_before, "worst_second": each.worst,
+                              "refused": counts["refused"], "failed": counts["failed"], "late": late,
+                              "broken": len(rules)}
+        for line in rules[:5]:
+            print(f"{case.name}: {line}", file=sys.stderr)
+        broken += 0 if case.plain_loop else len(rules)
+    table(["case", "before", "95 % after s", "worst second before", "after", "refused", "failed", "late",
+           "broken", "gaps"], rows)
+    return close("coming_back", figures, [Bar("rules broken", broken, 0.0)])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/cluster/instances.py
+++ b/standins/cluster/instances.py
@@ -17,6 +17,14 @@
 from standins.ports import free_port
 
 PATIENCE_S = 30.0
+SERVE = ("-m", "plovertrail.cli", "serve")
+PLAIN = """import asyncio, sys
+from plovertrail import daemon
+from plovertrail.config.operator import load
+from plovertrail.logs import log_to_stderr
+log_to_stderr()
+asyncio.run(daemon.serve(load(sys.argv[1])))
+"""
 SITE = """
 [daemon]
 control_socket = "{folder}/control"
@@ -58,6 +66,7 @@
     aim: str = "1s"
     deadline: str = "3s"
     state: bool = True  # it has a lasting disk
+    plain_loop: bool = False  # it runs on a loop that doesn't notice gaps
     most_file: int = 0  # bytes of a file that its disk takes, 0: any
     port: int = 0
     process: subprocess.Popen[bytes] | None = None
@@ -94,7 +103,7 @@
 
         with open(self.folder / "log", "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "plovertrail.cli", "serve", str(path)], stderr=log,
+                [sys.executable, *(("-c", PLAIN) if self.plain_loop else SERVE), str(path)], stderr=log,
                 stdin=subprocess.DEVNULL, env=os.environ | {"PYTHONUNBUFFERED": "1"}, preexec_fn=bounded)
         for span in self.killed:
             span[1] = min(span[1], time.monotonic())
--- a/standins/cluster/play.py
+++ b/standins/cluster/play.py
@@ -29,6 +29,7 @@
     relays: dict[tuple[int, int], TcpRelay]  # by instance and server
     load: Load
     told: list[str] = field(default_factory=list)  # what was done, and when
+    begins: float = 0.0  # of the play, by the monotonic clock
 
     def drain(self, number: int) -> None:
         """One word to all instances."""
@@ -71,7 +72,7 @@
 
     async def play(self) -> Verdict:
         """The whole schedule under load, and what is broken."""
-        begins = time.monotonic()
+        begins = self.begins = time.monotonic()
         self.load.start()
         for event in self.schedule.events:
             await asyncio.sleep(max(0.0, begins + event.at - time.monotonic()))
@@ -88,7 +89,7 @@
 async def cluster(schedule: Schedule, folder: Path) -> AsyncIterator[Cluster]:
     """Everything started and ready; all of it ended afterwards."""
     rng = random.Random(schedule.seed)
-    shops = [Shop(f"s{number}", schedule.answer_s) for number in range(schedule.servers)]
+    shops = [Shop(f"s{number}", schedule.answer_s, schedule.slots) for number in range(schedule.servers)]
     relays: dict[tuple[int, int], TcpRelay] = {}
     instances: list[Instance] = []
     lists: list[ServerList] = []
@@ -105,7 +106,8 @@
                 listed.ports[shop.name] = relay.port
             listed.write()
             lists.append(listed)
-            instances.append(Instance(one, folder / f"i{one}", path, deadline=f"{schedule.deadline_s:g}s"))
+            instances.append(Instance(one, folder / f"i{one}", path, deadline=f"{schedule.deadline_s:g}s",
+                                      plain_loop=schedule.plain_loop))
             instances[-1].start()
         await asyncio.gather(*(each.ready() for each in instances))
         load = Load(instances, random.Random(rng.random()), schedule.per_s, schedule.unsafe,
--- a/standins/cluster/schedule.py
+++ b/standins/cluster/schedule.py
@@ -63,6 +63,8 @@
     unsafe: float = 0.7
     deadline_s: float = 3.0
     answer_s: float = 0.02
+    slots: int = 64  # requests that a server takes at once
+    plain_loop: bool = False  # instances run on a loop that doesn't notice when the process stood still
     events: tuple[Event, ...] = field(default=())
 
 
@@ -112,8 +114,14 @@
         raise BadSchedule(f"{sorted(unknown)[0]}: unknown; a schedule has {', '.join(known)} and events")
     plain: dict[str, Any] = {}
     for name, default in known.items():
-        if name in raw:
-            found = number(raw[name], name, 1 if name in ("instances", "servers") else 0)
+        if name not in raw:
+            continue
+        if isinstance(default, bool):
+            if not isinstance(raw[name], bool):
+                raise BadSchedule(f"{name}: expected true or false, got {raw[name]!r}")
+            plain[name] = raw[name]
+        else:
+            found = number(raw[name], name, 1 if name in ("instances", "servers", "slots") else 0)
             plain[name] = int(found) if isinstance(default, int) else found
     whole = Schedule(**plain)
     events = [event(each, f"events[{place}]", whole.instances, whole.servers, whole.seconds)
--- a/standins/cluster/servers.py
+++ b/standins/cluster/servers.py
@@ -11,6 +11,8 @@
 from plovertrail.sources.lists import sealed
 from standins.web import NOT_RUN, OK, Arrival, Line, WebServer
 
+QUEUE = 16
+
 
 @dataclass(frozen=True, slots=True)
 class Run:
@@ -28,36 +30,40 @@
 
     name: str
     answer_s: float = 0.02
-    slots: int = 64  # at once; more are turned away
+    slots: int = 64  # worked on at once; as many more as QUEUE wait, the rest is turned away
     silent: bool = False
     runs: list[Run] = field(default_factory=list)
     told_drain: float = float("inf")
     open: int = 0
     most_open: int = 0
     web: WebServer = field(init=False)
+    room: asyncio.Semaphore = field(init=False)
 
     def __post_init__(self) -> None:
         self.web = WebServer(self.script, self.name, keep=False)
+        self.room = asyncio.Semaphore(self.slots)
 
     async def script(self, server: WebServer, arrival: Arrival, line: Line) -> bytes:
         ident = arrival.all("X-Request-Id")[0].decode()
-        ran = self.open < self.slots
+        ran = self.open < self.slots + QUEUE
         self.runs.append(Run(time.monotonic(), ident, arrival.method == b"POST", ran))
         if not ran:
             return NOT_RUN
         self.open += 1
         self.most_open = max(self.most_open, self.open)
         try:
-            await asyncio.sleep(self.answer_s)
+            async with self.room:
+                await asyncio.sleep(self.answer_s)
             return b"" if self.silent else OK
         finally:
             self.open -= 1
 
-    def worst_second(self) -> int:
-        """The most requests that reached it within one second."""
+    def worst_second(self, since: float = 0.0, until: float = float("inf")) -> int:
+        """The most requests that reached it within one second of that time."""
+        runs = [run for run in self.runs if since <= run.at < until]
         most = first = 0
-        for last, run in enumerate(self.runs):
-            while self.runs[first].at <= run.at - 1.0:
+        for last, run in enumerate(runs):
+            while runs[first].at <= run.at - 1.0:
                 first += 1
             most = max(most, last - first + 1)
         return most
