Start times of servers outlast a clock that was set: the machine's own one counts

The state file keeps times by the system's clock alone.

The file names the machine's start and how far the system's clock was ahead; on the same start times come back by the monotonic clock. After a start of the machine, what lies ahead came now. Files without it are read as before.

--- a/benchmarks/coming_back.py
+++ b/benchmarks/coming_back.py
@@ -1,10 +1,10 @@
 """Instances that die, lose their state or stand still, all at once: `python -m benchmarks.coming_back`.
 
 Processes of the daemon with relays between them and their servers (standins/cluster), clients with an open
-loop, one play a case. Told for each: how long until 95 % of what was served before is served again, the worst
-second at one server beside its worst one before, what was refused. Bar: nothing lost, doubled, made up or sent
-to a drained server in any case but `stood still, plain loop`, which is the same play without what notices a
-gap, to compare with.
+loop, one play a case. Told for each: how long until 95 % of what was served before is served again, the
+worst second at one server beside its worst one before, what was refused. Bar: nothing lost, doubled, made up
+or sent to a drained server in any case but `stood still, plain loop`, which is the same play without what
+notices a gap, to compare with.
 """
 
 from __future__ import annotations
--- a/plovertrail/sources/state_file.py
+++ b/plovertrail/sources/state_file.py
@@ -27,12 +27,14 @@
     """A file that can't be used; the text says why."""
 
 
-def encode(states: dict[str, State], clock_us: int, unix_us: int) -> bytes:
-    """The file's bytes. Times go by Unix time, as the module's clock ends with the machine."""
+def encode(states: dict[str, State], clock_us: int, unix_us: int, boot: str = "") -> bytes:
+    """The file's bytes. Times go by Unix time, as the module's clock ends with the machine; with what names
+    the machine's start, and how far Unix time was ahead, they can be had by that clock again."""
     ahead = unix_us - clock_us
     pools = {name: _pool(state, ahead) for name, state in states.items()}
-    body = b'{"pools":{' + b",".join(json.dumps(name).encode() + b":" + _written(pool)
-                                     for name, pool in pools.items()) + b"}}"
+    told = json.dumps({"boot": boot, "ahead": ahead}, separators=(",", ":"))[:-1].encode()
+    body = told + b',"pools":{' + b",".join(json.dumps(name).encode() + b":" + _written(pool)
+                                            for name, pool in pools.items()) + b"}}"
     head = f"plovertrail-state {FORMAT} {len(body)} {hashlib.sha256(body).hexdigest()}\n"
     return head.encode() + body
 
@@ -63,8 +65,9 @@
     return ("{" + ",".join(parts) + "}").encode()
 
 
-def decode(data: bytes, clock_us: int, unix_us: int) -> dict[str, State]:
-    """The states in the file's bytes; raises BadState."""
+def decode(data: bytes, clock_us: int, unix_us: int, boot: str = "") -> dict[str, State]:
+    """The states in the file's bytes; raises BadState. Hazard: the system's clock may have been set meanwhile;
+    by it, a server that came a moment ago would count as warm, or as cold for a day."""
     head = HEAD.match(data)
     if head is None:
         raise BadState("it has no first line of ours")
@@ -74,8 +77,10 @@
     if len(body) != int(head[2]) or hashlib.sha256(body).hexdigest().encode() != head[3]:
         raise BadState("it is damaged: its length or checksum is wrong")
     try:
-        pools = json.loads(body)["pools"]
-        return {name: _state(pool, clock_us - unix_us) for name, pool in pools.items()}
+        whole = json.loads(body)
+        same = bool(boot) and whole.get("boot") == boot  # one machine, not started again: its clock went on
+        ahead = -int(whole["ahead"]) if same else clock_us - unix_us
+        return {name: _state(pool, ahead, clock_us) for name, pool in whole["pools"].items()}
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
         raise BadState(f"it holds no states: {error!r}") from None
 
@@ -89,12 +94,13 @@
     return Entry(ident, (host, port), zone, cell, weight, drain)
 
 
-def _state(raw: Any, ahead: int) -> State:
-    """Numbers begin anew: they are this process's own."""
+def _state(raw: Any, ahead: int, now_us: int) -> State:
+    """Numbers begin anew: they are this process's own. By a clock that was set back some came tomorrow: they
+    came now at the latest."""
     entries = iter([_entry(row) for row in raw["entries"]])
     layers = tuple(Candidate(source, tuple(itertools.islice(entries, count)), version, by_operator)
                    for source, version, by_operator, count in raw["layers"])
-    came = {ident: came_us + ahead for ident, came_us in raw["came"]}
+    came = {ident: min(now_us, came_us + ahead) for ident, came_us in raw["came"]}
     state = State(by_hand=frozenset(raw["by_hand"]), layers=layers)
     state, _, _ = reduce(state, None, 0, Guards(allow_empty=True, damping=False))
     members = {ident: Member(member.number, member.entry, came.get(ident, 0))
@@ -102,7 +108,7 @@
     leaving, number = {}, state.last_number
     for entry, since_us in raw["leaving"]:
         number += 1
-        leaving[number] = Member(number, _entry(entry), 0), since_us + ahead
+        leaving[number] = Member(number, _entry(entry), 0), min(now_us, since_us + ahead)
     return State(raw["generation"], True, layers, state.by_hand, members, leaving, last_number=number)
 
 
@@ -126,7 +132,7 @@
         os.close(handle)
 
 
-def read(path: str, clock_us: int, unix_us: int) -> tuple[dict[str, State], str]:
+def read(path: str, clock_us: int, unix_us: int, boot: str = "") -> tuple[dict[str, State], str]:
     """The states, and what to report. Never raises: a file that can't be used is set aside, and the start
     goes on without it. Blocking."""
     try:
@@ -140,7 +146,7 @@
     try:
         if len(data) > LARGEST:
             raise BadState(f"it holds more than {LARGEST >> 20} MiB")
-        return decode(data, clock_us, unix_us), ""
+        return decode(data, clock_us, unix_us, boot), ""
     except BadState as error:
         aside = f"{path}.bad"
         with suppress(OSError):
--- a/plovertrail/state_keeper.py
+++ b/plovertrail/state_keeper.py
@@ -6,6 +6,7 @@
 import logging
 import time
 from collections.abc import Callable, Mapping
+from pathlib import Path
 
 from plovertrail.clock import clock_us
 from plovertrail.decisions.membership import State
@@ -22,6 +23,14 @@
     return time.time_ns() // 1000
 
 
+def boot_id() -> str:
+    """What names the machine's start, as the monotonic clock counts from it; empty where nothing tells."""
+    try:
+        return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+    except OSError:
+        return ""
+
+
 class StateKeeper:
     """Writes the newest states, one write at a time. Without a path it does nothing."""
 
@@ -36,7 +45,7 @@
         """Blocking; before the daemon serves."""
         if not self.path:
             return {}
-        states, problem = state_file.read(self.path, clock_us(), unix_us())
+        states, problem = state_file.read(self.path, clock_us(), unix_us(), boot_id())
         if problem:
             self.problem = problem
             log.error("%s", problem)
@@ -68,7 +77,7 @@
                 await asyncio.sleep(RETRY_S)
 
     def _put(self, states: dict[str, State]) -> None:
-        state_file.write(self.path, state_file.encode(states, clock_us(), unix_us()))
+        state_file.write(self.path, state_file.encode(states, clock_us(), unix_us(), boot_id()))
 
     async def close(self) -> None:
         """Write what has not been written yet."""
--- a/tests/sources/test_state_file.py
+++ b/tests/sources/test_state_file.py
@@ -45,6 +45,34 @@
     assert joined.members["new"].number not in {member.number for member, _ in back.leaving.values()}
 
 
+DAY = 86_400 * S
+
+
+@pytest.mark.parametrize("stepped", [-DAY, 0, DAY])
+def test_a_clock_that_was_set_meanwhile_makes_no_server_warm_or_cold(stepped: int) -> None:
+    data = state_file.encode({"main": state_of(2, came_us=100 * S)}, 101 * S, 50 * DAY, boot="a")
+    back = state_file.decode(data, 103 * S, 50 * DAY + 2 * S + stepped, boot="a")["main"]
+    assert {member.came_us for member in back.members.values()} == {100 * S}
+
+
+@pytest.mark.parametrize(("stepped", "came_us"), [(-DAY, 9 * S), (0, 6 * S), (DAY, 6 * S - DAY)])
+def test_after_a_start_of_the_machine_the_systems_clock_counts_and_nothing_comes_later_than_now(
+        stepped: int, came_us: int) -> None:
+    data = state_file.encode({"main": state_of(2, came_us=100 * S)}, 101 * S, 50 * DAY, boot="a")
+    back = state_file.decode(data, 9 * S, 50 * DAY + 2 * S + stepped, boot="b")["main"]
+    assert {member.came_us for member in back.members.values()} == {came_us}
+
+
+def test_a_file_from_before_the_machines_start_was_written_is_read(tmp_path: Path) -> None:
+    import hashlib
+
+    head, body = state_file.encode({"main": state_of(2)}, 6 * S, 50 * DAY, boot="a").split(b"\n", 1)
+    old = b'{"pools"' + body.split(b',"pools"', 1)[1]
+    digest = hashlib.sha256(old).hexdigest().encode()
+    data = b"plovertrail-state 1 %d %s\n%s" % (len(old), digest, old)
+    assert set(state_file.decode(data, 6 * S, 50 * DAY, boot="a")["main"].members) == {"s0", "s1"}
+
+
 def test_a_file_cut_or_changed_anywhere_is_set_aside_whole(tmp_path: Path) -> None:
     path = tmp_path / "state"
     whole = state_file.encode({"main": state_of(3)}, 0, 0)
