--- a/plovertrail/sources/state_file.py
+++ b/plovertrail/sources/state_file.py
@@ -66,7 +66,7 @@
 
 
 def decode(data: bytes, clock_us: int, unix_us: int, boot: str = "") -> dict[str, State]:
-    """The states in the file's bytes; raises BadState. Hazard: the system's clock may have been set meanwhile;
+    """The states in the file's bytes; raises BadState. Hazard: the system's clock may have been set since;
     by it, a server that came a moment ago would count as warm, or as cold for a day."""
     head = HEAD.match(data)
     if head is None:
