Cold upstreams take turns as fast as was served before a shortage

Their turns are counted by what is served, so that they become fewer as the warm ones choke, and thinning (admitted 0.15) withheld most of those that came.

While requests are refused for want of slots the count behind turns goes on as fast as answers came at best, by the second, and no faster however much is asked; turns are taken while the warm ones are thinned; the answers of cold ones don't end the thinning.

--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -54,6 +54,8 @@
 STALE_BORNE = 16  # stale entries that the heap of cold waits may hold besides two for each cold upstream
 DRAWS = 12  # tries at random before all are gone through: most draws need one
 RATE_MEMORY_US = 5_000_000
+MOST_KEPT = 0.999  # of the most answers a second, at each answer: it outlasts a shortage of a minute
+SHORTAGE_US = 1_000_000  # between two looks at the pace of what is served
 RETRY_SHARE = 0.2  # reissues a first send earns: enough for a fifth of the fleet to fail every attempt
 MOST_RETRIES = 5.0  # reissues in hand after a calm spell
 LOG_GAP_US = 1_000_000  # a line a second at most, however many upstreams change
@@ -67,7 +69,8 @@
     """Upstreams thinned together: all, or, where crossing zones costs, this zone's and the others'."""
 
     __slots__ = ("admitted", "credit", "load", "served", "in_use", "others", "cold", "groups", "cold_waits",
-                 "size", "rate", "rated_us", "judged_us")
+                 "size", "rate", "rated_us", "judged_us", "answers", "answered_us", "most_answers", "kept",
+                 "kept_us")
 
     def __init__(self, now_us: int) -> None:
         self.admitted = 1.0  # part of the draws that may take a slot: falls while answers are slow all over
@@ -85,6 +88,29 @@
         self.rate = 0.0  # sends a second, of late
         self.rated_us = now_us
         self.judged_us = now_us  # when an answer last moved what is admitted
+        self.answers = 0.0  # a second, of late, up to `answered_us`
+        self.answered_us = now_us
+        self.most_answers = 0.0  # the most of that, which fades
+        self.kept, self.kept_us = 0.0, now_us  # `served` when its pace was last looked at in a shortage
+
+    def answered(self, now_us: int) -> None:
+        """A request was served."""
+        self.served += 1.0
+        faded = math.exp((self.answered_us - now_us) / RATE_MEMORY_US)
+        self.answers, self.answered_us = self.answers * faded + 1_000_000 / RATE_MEMORY_US, now_us
+        self.most_answers = max(self.most_answers * MOST_KEPT, self.answers)
+
+    def turned_away(self, now_us: int) -> None:
+        """A request was refused for want of slots: `served`, by which cold upstreams have their turns, goes
+        on as fast as it did at best. Hazard: warm ones that choke serve less, and cold ones beside them would
+        have fewer turns the more they are needed. It is never faster than what has been served in fact,
+        however much is asked; by the second, as in shorter times answers come in lumps."""
+        gap_us = now_us - self.kept_us
+        if gap_us < SHORTAGE_US:
+            return
+        if gap_us < 2 * SHORTAGE_US:
+            self.served = max(self.served, self.kept + self.most_answers * gap_us / 1e6)
+        self.kept, self.kept_us = self.served, now_us
 
 
 class Reissues:
@@ -323,6 +349,9 @@
         kind = self.class_of(request)
         harmless = (kind.effect == "idempotent" or request.first_that_may_have_run() is None
                     or (kind.effect == "deduplicated" and kind.group == "all"))
+        if not request.attempts:
+            for pool in self.pools:
+                pool.turned_away(self.now_us)
         self.close(request)
         ident, after_us = request.event.request, self.mean_us[request.event.class_index]
         # about one answer's time, spread lest refused clients return together
@@ -361,7 +390,8 @@
         load = min(2.0, elapsed_us / slow_us) if outcome in ANSWERED else 2.0
         pace = SLOWEST_PACE if faulty else elapsed_us / self.mean_us[class_index]
         server.pace += (min(max(pace, 0.1), SLOWEST_PACE) - server.pace) / PACE_MEMORY
-        if outcome in TELL_OF_LOAD:
+        # hazard: cold ones answer fast beside warm ones that choke, and would end the thinning these need
+        if outcome in TELL_OF_LOAD and server.entry.id not in pool.cold:
             # hazard: a light sidecar never fills its slots; they hold nothing back when all are slow; draws
             # are thinned, at once as queues stay for seconds, but not for one slow answer among quick ones
             pool.load += (load - pool.load) / 8
@@ -481,14 +511,14 @@
         if server is not None:
             return server
         for pool in self.pools:
-            if pool.credit < 1.0:
-                continue
             while pool.cold_waits and pool.cold_waits[0][0] <= pool.served:
                 self.weigh(self.servers.get(heapq.heappop(pool.cold_waits)[1]))
-            groups = pool.groups
+            groups: tuple[WeightedDraw, ...] = pool.groups
             # hazard: each sidecar connected to each upstream fills their tables of connections
             few = len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH)
-            if few and pool.others.whole > 0.0:
+            if pool.credit < 1.0:
+                groups = (pool.cold,)  # they have their turns, and are not what is slow
+            elif few and pool.others.whole > 0.0:
                 groups = pool.cold, pool.others, pool.in_use
             for group in groups:
                 server = self.pick(request, group, some_rest) if group.whole > 0.0 else None
@@ -742,7 +772,7 @@
             self.judge(attempt, event.elapsed_us, request.event.class_index)
         self.weigh(server)
         if event.outcome in ANSWERED:
-            server.pool.served += 1.0
+            server.pool.answered(self.now_us)
             index = attempt.class_index
             server.silence[index] -= server.silence[index] / SILENCE_MEMORY
             server.mute[index] = 0
--- a/tests/decisions/test_warming.py
+++ b/tests/decisions/test_warming.py
@@ -36,6 +36,7 @@
         self.due: list[tuple[int, int, Event]] = []
         self.sent: Counter[str] = Counter()
         self.asked = 0
+        self.old_us = SLOW_US
 
     def tell(self, event: Event) -> None:
         for action in self.balancer.handle(self.now_us, event):
@@ -43,8 +44,9 @@
             if isinstance(action, Send):
                 new = action.upstream in NEW
                 self.sent["new" if new else "old"] += 1
-                after_us = FAST_US if new else SLOW_US
-                ended = AttemptEnded(action.request, 0, action.upstream, Outcome.OK, after_us, True)
+                after_us = min(action.timeout_us, FAST_US if new else self.old_us)
+                outcome = Outcome.OK if after_us < action.timeout_us else Outcome.TIMEOUT
+                ended = AttemptEnded(action.request, 0, action.upstream, outcome, after_us, True)
                 heapq.heappush(self.due, (self.now_us + after_us, self.order, ended))
             elif isinstance(action, SetTimer):
                 heapq.heappush(self.due, (action.at_us, self.order, TimerFired(action.token)))
@@ -86,3 +88,29 @@
     sidecar.tell(UpstreamsUpdated(ListKind.DELTA, unasked))
     sidecar.play(1.0, 8.0)
     assert set(sidecar.balancer.pools[0].in_use) - before <= set(OLD)
+
+
+def cold_turns(per_s: float) -> float:
+    """The turns a second that cold upstreams have while the warm ones choke, at so many requests a second."""
+    sidecar = Sidecar(seed=3)
+    sidecar.old_us = FAST_US
+    sidecar.tell(UpstreamsUpdated(ListKind.FULL, [Upstream(number) for number in OLD]))
+    sidecar.play(20.0, 8.0)
+    sidecar.old_us = SECOND_US
+    half_warm = [Upstream(number, started_us=sidecar.now_us - WARM_UP_US // 2) for number in NEW]
+    sidecar.tell(UpstreamsUpdated(ListKind.DELTA, half_warm))
+    sidecar.play(3.0, per_s)  # till the thinning holds
+    sidecar.sent.clear()
+    sidecar.play(6.0, per_s)
+    return sidecar.sent["new"] / 6.0
+
+
+def test_cold_ones_keep_their_turns_while_warm_ones_choke_however_much_is_asked() -> None:
+    """Hazard: by what is served now they would have the fewer turns the more they are needed; by what
+    is asked, a crowd of clients would push them over."""
+    few, many = cold_turns(8.0), cold_turns(80.0)
+    # a turn of one of 24 comes after about whole / (warmth * COLD_PART * overload_factor) served
+    whole = len(OLD) + 0.6 * len(NEW)
+    due = 8.0 * len(NEW) * 0.6 * 0.6 * 2.5 / whole
+    assert 0.6 * due < few < 1.5 * due
+    assert many < 2.0 * due
