--- a/standins/cluster/instances.py
+++ b/standins/cluster/instances.py
@@ -14,8 +14,6 @@
 from pathlib import Path
 from typing import Any
 
-from standins.ports import free_port
-
 PATIENCE_S = 30.0
 SERVE = ("-m", "plovertrail.cli", "serve")
 PLAIN = """import asyncio, sys
@@ -32,7 +30,7 @@
 [limits]
 max_body = "64KiB"
 [listeners.web]
-address = "127.0.0.1:{port}"
+address = "{host}:{port}"
 max_connections = 512
 [classes.buy]
 effect = "unsafe"
@@ -68,11 +66,18 @@
     state: bool = True  # it has a lasting disk
     plain_loop: bool = False  # it runs on a loop that doesn't notice gaps
     most_file: int = 0  # bytes of a file that its disk takes, 0: any
-    port: int = 0
+    port: int = 8080
     process: subprocess.Popen[bytes] | None = None
     stopped: list[list[float]] = field(default_factory=list)
     killed: list[list[float]] = field(default_factory=list)
 
+    @property
+    def host(self) -> str:
+        """A loopback address of its own. Hazard: on a common one its port may be in use for a connection to
+        somewhere else while it is down."""
+        pid = os.getpid()
+        return f"127.{64 + (pid >> 8) % 64}.{pid % 256}.{self.number + 1}"
+
     @property
     def control(self) -> str:
         return f"{self.folder}/control"
@@ -85,11 +90,10 @@
     def write(self) -> Path:
         """Its operator's file."""
         self.folder.mkdir(exist_ok=True)
-        self.port = self.port or free_port()
         state = f'state_file = "{self.folder}/state"' if self.state else ""
         path = self.folder / "site.toml"
-        path.write_text(SITE.format(folder=self.folder, state=state, port=self.port, aim=self.aim,
-                                    deadline=self.deadline, servers=self.servers))
+        path.write_text(SITE.format(folder=self.folder, state=state, host=self.host, port=self.port,
+                                    aim=self.aim, deadline=self.deadline, servers=self.servers))
         return path
 
     def start(self) -> None:
--- a/standins/cluster/load.py
+++ b/standins/cluster/load.py
@@ -18,6 +18,9 @@
     number: int
     port: int
 
+    @property
+    def host(self) -> str: ...
+
 
 @dataclass(slots=True)
 class Sent:
@@ -72,7 +75,7 @@
         self.sent.append(one)
         try:
             async with asyncio.timeout(self.deadline_s + STILL_S):
-                reader, writer = await asyncio.open_connection("127.0.0.1", door.port)
+                reader, writer = await asyncio.open_connection(door.host, door.port)
                 try:
                     one.sent = time.monotonic()
                     writer.write(request(one))
