Read once more: one rate a second, one clock of the backstop, one end of catching up

Found by reading the change as a whole, and mended: - balance.py had the same fading rate written twice (sends, answers); PerSecond is both. What was said of a refusal's cause there was narrower than what is done. - A phase that changed while a reload's lists were told had no line in the log; the 1 s of catching up began anew with each gap in the keeper, and was stated elsewhere by a figure that nothing used: it is one deadline now, renewed by each gap. - A request that is refused because its time went by unread told no Retry-After, though the operators' page says so. - `plovertrail wait` ended with a traceback on an answer that is no status. - The backstop's tick was patched in tests beside the argument that does the same; the machine's start was read at each write.

--- a/plovertrail/cli/control.py
+++ b/plovertrail/cli/control.py
@@ -19,8 +19,12 @@
 LOOK_S = 0.05  # between two looks while waiting
 
 
-def asked(path: str, **what: str) -> dict[str, Any] | str:
-    """One call: the answer, or why no daemon gave one."""
+class NoAnswer(Exception):
+    """A call that was not answered as asked; the text says why."""
+
+
+def asked(path: str, **what: str) -> dict[str, Any]:
+    """One call; raises NoAnswer."""
     try:
         with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
             sock.settimeout(PATIENCE_S)
@@ -28,21 +32,20 @@
             sock.sendall(json.dumps(what).encode() + b"\n")
             with sock.makefile("rb") as file:
                 answer: dict[str, Any] = json.loads(file.readline(LONGEST_ANSWER))
-                return answer
     except (OSError, ValueError) as error:
-        return f"no daemon answers on {path}: {error}"
+        raise NoAnswer(f"no daemon answers on {path}: {error}") from None
+    if not answer.get("ok"):
+        raise NoAnswer(answer.get("error", "it failed"))
+    return answer
 
 
 def ask(path: str, **what: str) -> dict[str, Any]:
     """One call; prints what went wrong and exits with 1."""
-    answer = asked(path, **what)
-    if isinstance(answer, str):
-        click.echo(answer, err=True)
-        sys.exit(1)
-    if not answer.get("ok"):
-        click.echo(answer.get("error", "it failed"), err=True)
+    try:
+        return asked(path, **what)
+    except NoAnswer as error:
+        click.echo(str(error), err=True)
         sys.exit(1)
-    return answer
 
 
 @click.command()
@@ -86,15 +89,17 @@
     order = [each.value for each in Phase]
     ends = time.monotonic() + within_s
     while True:
-        found = asked(path, do="status")
-        recovery = found["status"]["recovery"] if isinstance(found, dict) else None
-        if recovery is not None and order.index(recovery["phase"]) >= order.index(phase):
-            click.echo(tell_phase(recovery))
-            return
+        try:
+            recovery = asked(path, do="status")["status"]["recovery"]
+        except NoAnswer as error:
+            told = str(error)
+        else:
+            told = tell_phase(recovery)
+            if order.index(recovery["phase"]) >= order.index(phase):
+                click.echo(told)
+                return
+            told += "".join(f"\n  {name}: {why}" for name, why in recovery["missing"].items())
         if time.monotonic() >= ends:
-            missing = recovery["missing"] if recovery is not None else {}
-            told = tell_phase(recovery) if recovery is not None else str(found)
-            told += "".join(f"\n  {name}: {why}" for name, why in missing.items())
             click.echo(f"not {phase} within {within_s:g} s: {told}", err=True)
             sys.exit(4)
         time.sleep(min(LOOK_S, max(0.0, ends - time.monotonic())))
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -181,7 +181,7 @@
         self.max_answer = max_answer
         self.roster = roster
         self.connections = connect(config, AnswerRules(max_answer, FAULTS, until_close=True))
-        self.connections.stale = lambda: host.stale()
+        self.connections.stale = host.stale
         self.pool = host.add_pool(config.name, config.settings, seed, self.connections)
         self.budget = share.Budget()
         self.overdrawn = ""
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -65,12 +65,25 @@
 LONGEST_WAIT = 0.9  # of ask-within, after a call that waited in vain
 
 
+class PerSecond:
+    """How often something has happened a second, of late."""
+
+    __slots__ = ("rate", "at_us")
+
+    def __init__(self, now_us: int) -> None:
+        self.rate = 0.0
+        self.at_us = now_us
+
+    def count(self, now_us: int) -> None:
+        faded = math.exp((self.at_us - now_us) / RATE_MEMORY_US)
+        self.rate, self.at_us = self.rate * faded + 1_000_000 / RATE_MEMORY_US, now_us
+
+
 class Pool:
     """Upstreams thinned together: all, or, where crossing zones costs, this zone's and the others'."""
 
     __slots__ = ("admitted", "credit", "load", "served", "in_use", "others", "cold", "groups", "cold_waits",
-                 "size", "rate", "rated_us", "judged_us", "answers", "answered_us", "most_answers", "kept",
-                 "kept_us")
+                 "size", "sends", "judged_us", "answers", "most_answers", "kept", "kept_us")
 
     def __init__(self, now_us: int) -> None:
         self.admitted = 1.0  # part of the draws that may take a slot: falls while answers are slow all over
@@ -85,25 +98,22 @@
         self.groups = self.cold, self.in_use, self.others
         self.cold_waits: list[tuple[float, int]] = []  # (next_cold, number) of cold ones; a heap
         self.size = 0.0  # of all its upstreams, as listed
-        self.rate = 0.0  # sends a second, of late
-        self.rated_us = now_us
+        self.sends = PerSecond(now_us)
         self.judged_us = now_us  # when an answer last moved what is admitted
-        self.answers = 0.0  # a second, of late, up to `answered_us`
-        self.answered_us = now_us
-        self.most_answers = 0.0  # the most of that, which fades
+        self.answers = PerSecond(now_us)
+        self.most_answers = 0.0  # a second; it fades
         self.kept, self.kept_us = 0.0, now_us  # `served` when its pace was last looked at in a shortage
 
     def answered(self, now_us: int) -> None:
         """A request was served."""
         self.served += 1.0
-        faded = math.exp((self.answered_us - now_us) / RATE_MEMORY_US)
-        self.answers, self.answered_us = self.answers * faded + 1_000_000 / RATE_MEMORY_US, now_us
-        self.most_answers = max(self.most_answers * MOST_KEPT, self.answers)
+        self.answers.count(now_us)
+        self.most_answers = max(self.most_answers * MOST_KEPT, self.answers.rate)
 
     def turned_away(self, now_us: int) -> None:
-        """A request was refused for want of slots: `served`, by which cold upstreams have their turns, goes
-        on as fast as it did at best. Hazard: warm ones that choke serve less, and cold ones beside them would
-        have fewer turns the more they are needed. It is never faster than what has been served in fact,
+        """A request was refused with no attempt made: `served`, by which cold upstreams have their turns,
+        goes on as fast as it did at best. Hazard: warm ones that choke serve less, and cold ones beside them
+        would have fewer turns the more they are needed. It is never faster than what has been served in fact,
         however much is asked; by the second, as in shorter times answers come in lumps."""
         gap_us = now_us - self.kept_us
         if gap_us < SHORTAGE_US:
@@ -402,7 +412,7 @@
             pool.judged_us = self.now_us
             gain = ADMIT_GAIN * gap_us / 1e6
             if load < FULL_LOAD:
-                gain = max(gain, ADMIT_GAIN / max(1.0, pool.rate))
+                gain = max(gain, ADMIT_GAIN / max(1.0, pool.sends.rate))
             elif pool.load <= 0.5:
                 gain = 0.0
             pool.admitted *= max(0.3, 1.0 + gain * (FULL_LOAD - load))
@@ -515,7 +525,7 @@
                 self.weigh(self.servers.get(heapq.heappop(pool.cold_waits)[1]))
             groups: tuple[WeightedDraw, ...] = pool.groups
             # hazard: each sidecar connected to each upstream fills their tables of connections
-            few = len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH)
+            few = len(pool.in_use) < FEWEST_IN_USE + int(pool.sends.rate / A_SECOND_EACH)
             if pool.credit < 1.0:
                 groups = (pool.cold,)  # they have their turns, and are not what is slow
             elif few and pool.others.whole > 0.0:
@@ -675,8 +685,7 @@
         server.used += 1
         pool = server.pool
         pool.credit = pool.credit - 1.0 if pool.credit > 1.0 else 0.0
-        faded = math.exp((pool.rated_us - self.now_us) / RATE_MEMORY_US)
-        pool.rate, pool.rated_us = pool.rate * faded + 1_000_000 / RATE_MEMORY_US, self.now_us
+        pool.sends.count(self.now_us)
         if server.entry.id not in pool.in_use:
             self.use(server, True)
         self.weigh(server)
--- a/plovertrail/decisions/recovery.py
+++ b/plovertrail/decisions/recovery.py
@@ -43,7 +43,7 @@
           "nothing is sent while a source that can be read has not been read again"),
     Piece("drains by hand", "the state file", "any age", "after a lost disk they have to be given again",
           kept=True),
-    Piece("start times of servers", "the state file", "any age, by the system's clock",
+    Piece("start times of servers", "the state file", "any age, by the machine's own clock while that runs",
           "all servers of the first list count as warm, and later ones as cold", kept=True),
     Piece("judgements on servers", "learnt anew", "the process's life",
           "each server begins with one slot, and more open as answers come in time"),
@@ -75,14 +75,13 @@
 
     def __init__(self, now_us: int) -> None:
         self.woke_us = now_us  # when the turn under way began
-        self.waits_us = 0  # when the wait under way began
-        self.until_us = now_us  # when it should have ended at the latest
+        self.until_us = now_us  # when the wait under way should have ended at the latest
 
     def waits(self, now_us: int, longest_us: int) -> int:
         """The loop is about to wait for so long at most. Returns for how long the turn before it stood still,
         0 if it didn't."""
         gap_us = now_us - self.woke_us
-        self.waits_us, self.until_us = now_us, now_us + longest_us
+        self.until_us = now_us + longest_us
         return gap_us if gap_us > STOOD_STILL_US else 0
 
     def woke(self, now_us: int) -> int:
@@ -110,6 +109,7 @@
         self.to_full_us: int | None = None  # how long the last way back took; None: none has ended
         self.gaps = 0
         self.longest_gap_us = 0
+        self.catch_up_ends_us = now_us  # whatever has been read by then
 
     @property
     def may_send(self) -> bool:
@@ -122,6 +122,7 @@
         self.longest_gap_us = max(self.longest_gap_us, gap_us)
         self.why = f"it stood still for {gap_us / 1e6:.1f} s"
         self.waiting = set(sources)
+        self.catch_up_ends_us = now_us + LONGEST_CATCH_UP_US
         if self.may_send:
             self.begun_us = now_us
         self._enter(Phase.CATCHING_UP, now_us)
@@ -152,10 +153,6 @@
         self.waiting = set()
         self._settle(now_us)
 
-    def catch_up_ends_us(self) -> int:
-        """When catching up ends, whatever has been read."""
-        return self.since_us + LONGEST_CATCH_UP_US
-
     def _settle(self, now_us: int) -> None:
         if self.missing:
             if self.phase is Phase.FULL:
--- a/plovertrail/hooks/engine.py
+++ b/plovertrail/hooks/engine.py
@@ -76,8 +76,8 @@
 class Runtime:
     """One engine, its compiled modules, and the clock that stops calls. One a process."""
 
-    def __init__(self, tick_s: float | None = None) -> None:
-        self.tick_s = TICK_S if tick_s is None else tick_s  # seconds between two looks of that clock
+    def __init__(self, tick_s: float = TICK_S) -> None:
+        self.tick_s = tick_s  # between two looks of that clock
         self.engine = _engine()
         self.linker = wasmtime.Linker(self.engine)  # hooks import nothing
         self._compiled: OrderedDict[str, Compiled] = OrderedDict()
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -466,8 +466,10 @@
     def _overdue(self, request: Request) -> None:
         if not request.over:
             log.warning("a request was overdue")
-            verdict = Verdict.FAILED if request.attempts else Verdict.REFUSED  # no attempt: nothing has run
-            self._answer(request.ident, Answer(verdict, result=request.last))
+            answer = Answer(Verdict.FAILED, result=request.last)
+            if not request.attempts:  # nothing has run
+                answer = Answer(Verdict.REFUSED, self._retry_after_us(request.pools[0]))
+            self._answer(request.ident, answer)
             if request.pool is not None:
                 self._tell(request.pool, api.RequestGone(request.ident))
 
--- a/plovertrail/recovery_keeper.py
+++ b/plovertrail/recovery_keeper.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from plovertrail.clock import clock_us
-from plovertrail.decisions.recovery import LONGEST_CATCH_UP_US, Phase, Recovery
+from plovertrail.decisions.recovery import Phase, Recovery
 from plovertrail.host import Host
 from plovertrail.pulse import PulseLoop
 from plovertrail.roster import Roster
@@ -48,12 +48,11 @@
 
     def follow(self) -> None:
         """A setup has come into force; its lists have been read once."""
-        now_us = clock_us()
+        now_us, before = clock_us(), self.recovery.phase
         for name, roster in self.rosters().items():
             for source in roster.watches.values():
                 wrong = roster.unreadable.get(source.source.name, "")
                 self.recovery.told(source_name(name, source.source.name), wrong, now_us)
-        before = self.recovery.phase
         self.recovery.begin(self.watches(), now_us)
         self.changed(before)
 
@@ -78,7 +77,8 @@
             while self.again:
                 self.again = False
                 try:
-                    async with asyncio.timeout(LONGEST_CATCH_UP_US / 1e6):
+                    left_us = self.recovery.catch_up_ends_us - clock_us()
+                    async with asyncio.timeout(left_us / 1e6):
                         for _ in range(TURNS):
                             await asyncio.sleep(0)
                         await asyncio.gather(*(self._read(*each) for each in self.watches().items()))
--- a/plovertrail/state_keeper.py
+++ b/plovertrail/state_keeper.py
@@ -36,6 +36,7 @@
 
     def __init__(self, path: str) -> None:
         self.path = path
+        self.boot = boot_id() if path else ""
         self.states: States | None = None  # to be written
         self.problem = ""  # of the last write; shown in the status
         self.writer: asyncio.Task[None] | None = None
@@ -45,7 +46,7 @@
         """Blocking; before the daemon serves."""
         if not self.path:
             return {}
-        states, problem = state_file.read(self.path, clock_us(), unix_us(), boot_id())
+        states, problem = state_file.read(self.path, clock_us(), unix_us(), self.boot)
         if problem:
             self.problem = problem
             log.error("%s", problem)
@@ -77,7 +78,7 @@
                 await asyncio.sleep(RETRY_S)
 
     def _put(self, states: dict[str, State]) -> None:
-        state_file.write(self.path, state_file.encode(states, clock_us(), unix_us(), boot_id()))
+        state_file.write(self.path, state_file.encode(states, clock_us(), unix_us(), self.boot))
 
     async def close(self) -> None:
         """Write what has not been written yet."""
--- a/tests/decisions/test_draw.py
+++ b/tests/decisions/test_draw.py
@@ -52,7 +52,7 @@
                 free_slots(old, request, [server for server in mine if server.entry.id in group], some_rest)
                 for group in (pool.cold, pool.in_use, pool.others)
             )
-            if len(pool.in_use) < FEWEST_IN_USE + int(pool.rate / A_SECOND_EACH):
+            if len(pool.in_use) < FEWEST_IN_USE + int(pool.sends.rate / A_SECOND_EACH):
                 best, others = others, best
             found = cold or best or others
             if found:
--- a/tests/decisions/test_recovery.py
+++ b/tests/decisions/test_recovery.py
@@ -60,7 +60,7 @@
     recovery = full("a", "b")
     recovery.stood_still(S, ["a", "b"], 2 * S)
     recovery.told("a", "", 2 * S)
-    assert recovery.catch_up_ends_us() == 2 * S + LONGEST_CATCH_UP_US
+    assert recovery.catch_up_ends_us == 2 * S + LONGEST_CATCH_UP_US
     recovery.caught_up(3 * S)
     assert recovery.phase.value == "serving in part" and list(recovery.missing) == ["b"]
     recovery.told("b", "", 9 * S)
--- a/tests/hooks/test_hook.py
+++ b/tests/hooks/test_hook.py
@@ -32,10 +32,9 @@
 
 
 @pytest.fixture
-def runtime(monkeypatch: pytest.MonkeyPatch) -> Iterator[Runtime]:
+def runtime() -> Iterator[Runtime]:
     # calls here are of microseconds; on a busy machine the clock of the backstop would end some of them
-    monkeypatch.setattr("plovertrail.hooks.engine.TICK_S", 0.1)
-    made = Runtime()
+    made = Runtime(tick_s=0.1)
     made.start()
     yield made
     made.stop()
