--- a/standins/cluster/relay.py
+++ b/standins/cluster/relay.py
@@ -8,6 +8,8 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
+from standins.listening import StreamListener
+
 Address = tuple[str, int]
 CHUNK = 64 * 1024
 MOST_HELD = 1024  # datagrams on their way through one relay; more are dropped, as a full queue would
@@ -42,7 +44,7 @@
 
 
 @dataclass(eq=False)
-class TcpRelay:
+class TcpRelay(StreamListener):
     """Listens on a loopback port of the system's choice, and connects each caller to `target`."""
 
     target: Address
@@ -50,20 +52,9 @@
     forth: Way = field(default_factory=Way)  # from the callers to the target
     back: Way = field(default_factory=Way)
     refusing: bool = False  # new connections are reset, and so were those that were open
-    port: int = 0
-    server: asyncio.Server | None = None
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
-    async def start(self) -> None:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=1024)
-        self.port = self.server.sockets[0].getsockname()[1]
-
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
         self.writers.add(writer)
         try:
             if self.refusing:
@@ -78,8 +69,8 @@
             finally:
                 self.writers.discard(far_writer)
                 far_writer.transport.abort()
-        except* (OSError, asyncio.CancelledError):
-            pass
+        except* OSError:
+            pass  # it was reset, by one side or by us
         finally:
             self.writers.discard(writer)
             writer.transport.abort()
@@ -98,18 +89,9 @@
             writer.write_eof()
 
     def reset(self) -> None:
-        """Break all that is open."""
         for writer in list(self.writers):
             writer.transport.abort()
 
-    def stop(self) -> None:
-        if self.server is not None:
-            self.server.close()
-            self.server = None
-        self.reset()
-        for task in list(self.tasks):
-            task.cancel()
-
 
 class UdpRelay(asyncio.DatagramProtocol):
     """One way of datagrams: what reaches its port goes on to `target`, through `out` if that is set, else
--- a/standins/live.py
+++ b/standins/live.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from standins.frames import BINARY, CLOSE, CONTINUATION, PING, PONG, TEXT, Got, acceptance, frame, read_frame
+from standins.listening import StreamListener
 
 
 @dataclass(eq=False)
@@ -72,31 +73,16 @@
 
 
 @dataclass(eq=False)
-class LiveServer:
+class LiveServer(StreamListener):
     """Listens on a loopback port of the system's choice; `lines` keeps every connection that sent a head."""
 
     script: Script = echo
     name: str = ""
     row: str = ""  # further keys of its row in an operator's file
-    port: int = 0
     lines: list[Line] = field(default_factory=list)
     open: set[Line] = field(default_factory=set)
-    server: asyncio.Server | None = None
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
-
-    @property
-    def address(self) -> str:
-        return f"127.0.0.1:{self.port}"
-
-    async def start(self, port: int = 0) -> None:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port, backlog=4096)
-        self.port = self.server.sockets[0].getsockname()[1]
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
         line = Line(reader, writer)
         self.open.add(line)
         try:
@@ -104,18 +90,10 @@
                 line.head = await reader.readuntil(b"\r\n\r\n")
                 self.lines.append(line)
                 await self.script(line)
-        except asyncio.CancelledError:
-            pass  # hazard: the stream's own callback would log it as a fault
         finally:
             self.open.discard(line)
             writer.close()
 
-    def stop(self) -> None:
-        """Close the port, and reset all connections."""
-        if self.server is not None:
-            self.server.close()
-            self.server = None
+    def reset(self) -> None:
         for line in list(self.open):
             line.reset()
-        for task in list(self.tasks):
-            task.cancel()
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -60,14 +60,16 @@
 
 
 
-def run(test: Callable[[], Awaitable[None]]) -> None:
+def run(test: Callable[[], Awaitable[None]],
+        loop_factory: Callable[[], asyncio.AbstractEventLoop] | None = None) -> None:
     """Run a test that hangs for no longer than a minute."""
 
     async def limited() -> None:
         async with asyncio.timeout(3 * PATIENCE_S):
             await test()
 
-    asyncio.run(limited())
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        runner.run(limited())
 
 
 def pool_text(name: str, servers: Sequence[WebServer], extra: str = "") -> str:
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -16,6 +16,7 @@
 from plovertrail.sources.lists import sealed
 from standins.web import WebServer
 from tests.daemons import Running, message, running
+from tests.daemons import run as run_test
 from tests.net import PATIENCE_S
 
 GAP_S = 4.0
@@ -24,11 +25,7 @@
 class Clock:
     """The system's, which jumps when told to, as it does for a process that is stopped and woken."""
 
-    def __init__(self) -> None:
-        self.ahead_ns = 0
-
-    def nanoseconds(self) -> int:
-        return time.monotonic_ns() + self.ahead_ns
+    ahead_ns = 0
 
     def jump(self, seconds: float) -> None:
         self.ahead_ns += int(seconds * 1e9)
@@ -37,17 +34,12 @@
 @contextmanager
 def jumping() -> Iterator[Clock]:
     clock = Clock()
-    with another_clock(clock.nanoseconds):
+    with another_clock(lambda: time.monotonic_ns() + clock.ahead_ns):
         yield clock
 
 
 def run(test: Callable[[], Awaitable[None]]) -> None:
-    async def limited() -> None:
-        async with asyncio.timeout(3 * PATIENCE_S):
-            await test()
-
-    with asyncio.Runner(loop_factory=PulseLoop) as runner:
-        runner.run(limited())
+    run_test(test, PulseLoop)
 
 
 def phase(it: Running) -> str:
