A silent watch is opened again within 2 s: a drain missed meanwhile broke a rule

By a line for each call for the list: 39 of 210 watches fell silent right after their first line, all were noticed 4.5 s later, and called anew at once to 8.8 s after that. 38 upstreams were told to drain at 9.64 s; 11 sidecars called at 12.13 to 13.84 s ("ended@4.84 ... call@12.20 list@12.21 D38"), over 2 s after word. Ruled out: discovery (each call was answered within 30 ms), lists lost on the way, sends decided before word.

At fault: on_list of balance.py took a watch that was up and fell silent for a call that waited in vain, and drew its next turn from 0.9 of ask-within (9 s), as after an outage. What a silent watch misses counts as told 6 s after it fell silent. Now the event says that it was up and fell silent, and the turn is within 2 s (spread as before); silence is seen after 3.5 s in place of 4.5 where lines came before (one line of 2 s missed and 1.5 s of lateness), a call not answered at all after 4.5 s as before.

Where lists are pushed the platform's program never watched its agent, as the module asks for nothing there; it does now.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -52,6 +52,8 @@
     if settings.known:
         discovery.cached(settings.known)
     host.start(servers)
+    if not settings.settings.list_on_request:
+        discovery.hold_open()
     # the rest is for discovery, the listener, the log and what is on its way to be closed
     server = Server(host, servers, settings.settings, most_clients=settings.sockets // 2)
     following = loop.create_task(follow(settings.path, reload, discovery))
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -63,6 +63,9 @@
 FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
 LIST_CALLS_PER_S = 20.0  # in the worst second, that discovery is reckoned to bear where nothing tells
 LONGEST_WAIT = 0.9  # of ask-within, after a call that waited in vain
+# what a silent subscription misses counts as told 6 s after it fell silent, and drains hold 2 s after that;
+# 3.5 of these 8 s are over when it is seen, and the call itself may wait for 2 or more
+SILENT_TURN_US = 2_000_000
 
 
 class PerSecond:
@@ -811,6 +814,9 @@
             # one that was turned away at once was next to no work for discovery; rule 3 goes by the asking
             waited = self.now_us - self.asked_list_us > FIRST_RETRY_US
             longest_us = int((LONGEST_WAIT if waited else 0.5) * self.settings.ask_within_us)
+            if event.silent:
+                # hazard: a turn as late as after a call that failed, with drains missed meanwhile (rule 3)
+                longest_us = min(longest_us, SILENT_TURN_US)
             self.ask_list_at(self.now_us + self.list_turn_us(max(FIRST_RETRY_US, longest_us)))
             return
         if event.kind is not api.ListKind.CACHED:
--- a/plovertrail/decisions/interface.py
+++ b/plovertrail/decisions/interface.py
@@ -157,6 +157,7 @@
     upstreams: list[Upstream] = field(default_factory=list)
     version: int = 0
     part: bool = False  # of a long list: what is not in it stays as it was, and who is gone is named
+    silent: bool = False  # FAILED: the subscription was up and fell silent, so changes may have been missed
 
 
 @dataclass(slots=True)
--- a/plovertrail/sources/discovery.py
+++ b/plovertrail/sources/discovery.py
@@ -22,7 +22,11 @@
 
 log = logging.getLogger(__name__)
 
-SILENCE_S = 4.5  # an empty line comes every 2 s
+UNANSWERED_S = 4.5  # a call that is not answered for so long: discovery itself gives up after 3 s
+# an empty line comes every 2 s. Hazard: what a silent watch misses counts as told 6 s after its last line,
+# and the call for the rest of the list takes its turn and its time within what is left
+SILENCE_S = 3.5
+REOPEN_S = 0.25  # a call to an agent on this machine costs nothing, and what it has counts as told
 LONGEST_LINE = 4 * 1024 * 1024  # about 25,000 servers
 SHORT_LINE = 64 * 1024  # hazard: a longer one, or a change among more servers, holds up the loop for too
 FEW_SERVERS = 500  # long; so these are read on a thread, which gives way every few milliseconds
@@ -131,6 +135,8 @@
         self.transport: asyncio.Transport | None = None
         self.address = discovery.address
         self.pending = b""
+        self.answered = False  # it is up: from then on there is something to hear every 2 s
+        self.silent = False  # it has ended for want of that
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -152,6 +158,7 @@
     def on_body(self, data: bytes) -> None:
         if self.parser.get_status_code() != 200:
             return
+        self.answered = True
         self.discovery.heard()
         *lines, self.pending = (self.pending + data).split(b"\n")
         if len(self.pending) > LONGEST_LINE:
@@ -182,6 +189,7 @@
         self.listener = listener
         self.version = 0
         self.active = False  # the module wants to be told, also while it waits to ask again
+        self.pushed = False  # an agent has the list: the watch is opened anew whenever it ends
         self.watch: Watch | None = None
         self.dial: asyncio.Task[None] | None = None
         self.heard_at = 0.0
@@ -212,6 +220,15 @@
             self.timer = self.loop.call_later(SILENCE_S, self.check)
             self.dial = self.loop.create_task(self.connect(self.watch))
 
+    def hold_open(self) -> None:
+        """Lists are pushed to an agent beside us, and the module asks for none: watch the agent for good."""
+        self.pushed = True
+        self.subscribe(True)
+
+    def reopen(self) -> None:
+        if self.watch is None and self.active:
+            self.subscribe(True)
+
     def move(self, address: Address) -> None:
         """Discovery has another address: watch there at once."""
         if address == self.address:
@@ -241,12 +258,17 @@
 
     def check(self) -> None:
         """Hazard: a machine that is cut off says nothing, and its watch would stay open for ever."""
-        left = self.heard_at + SILENCE_S - time.monotonic()
+        watch = self.watch
+        if watch is None:
+            return
+        bound_s = SILENCE_S if watch.answered else UNANSWERED_S
+        left = self.heard_at + bound_s - time.monotonic()
         if left > 0:
             self.timer = self.loop.call_later(left, self.check)
-        elif self.watch is not None:
+        else:
             log.warning("the watch is silent")
-            self.watch.fail()
+            watch.silent = True
+            watch.fail()
 
     def line(self, watch: Watch, line: bytes) -> None:
         """A list or a change has come; raises on what is malformed, if it is read at once."""
@@ -309,4 +331,6 @@
     def ended(self, watch: Watch) -> None:
         if watch is self.watch:
             self.stop()
-            self.listener(UpstreamsUpdated(ListKind.FAILED), {})
+            self.listener(UpstreamsUpdated(ListKind.FAILED, silent=watch.silent), {})
+            if self.pushed:
+                self.loop.call_later(REOPEN_S, self.reopen)
--- a/tests/decisions/test_list.py
+++ b/tests/decisions/test_list.py
@@ -62,6 +62,26 @@
     assert waits[0] < 500_000 and waits[-1] > 1_000_000
 
 
+@pytest.mark.parametrize("instances", [1, 40, 200, 5_000])
+def test_a_silent_subscription_is_renewed_before_what_it_missed_counts_as_told(instances: int) -> None:
+    """6 s after its last word, and the 2 s of a drain; 3.5 s are over when it is seen."""
+    waits = []
+    for seed in range(40):
+        found = settings(list_on_request=True, ask_within_us=10_000_000, instances=instances)
+        balancer = Balancer(found, seed, START_US)
+        balancer.handle(START_US, UpstreamsUpdated(ListKind.FULL, upstreams(4), 1))
+        now_us = START_US + 30_000_000
+        actions = balancer.handle(now_us, UpstreamsUpdated(ListKind.FAILED, silent=True))
+        while not any(isinstance(action, Subscribe) for action in actions):
+            timers = [action.at_us for action in actions if isinstance(action, SetTimer)]
+            now_us = max(now_us + 1, min(timers, default=now_us + 10_000))
+            assert now_us < START_US + 50_000_000
+            actions = balancer.handle(now_us, TimerFired(0))
+        waits.append(now_us - START_US - 30_000_000)
+    assert max(waits) <= 2_500_000
+    assert instances < 40 or max(waits) > 1_000_000  # spread, where there are many
+
+
 def test_a_second_failure_before_the_repeat_does_not_double_the_calls() -> None:
     world = asking_world()
     world.advance(2_000_000)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -14,11 +14,20 @@
 import pytest
 
 from plovertrail.decisions.balance import MOST_SLOTS, Balancer
-from plovertrail.decisions.interface import AttemptEnded, Event, Outcome, RequestClass, Settings
+from plovertrail.decisions.interface import (
+    AttemptEnded,
+    Event,
+    ListKind,
+    Outcome,
+    RequestClass,
+    Settings,
+    UpstreamsUpdated,
+)
 from plovertrail.exchange import Call, Result
 from plovertrail.fronts import application as server
 from plovertrail.fronts import connections
 from plovertrail.host import Host
+from plovertrail.sources import discovery as discovery_module
 from plovertrail.upstreams.connections import Attempt, Connection, ConnectionPool
 from tests.net import (
     NOT_RUN,
@@ -702,6 +711,50 @@
     run(test)
 
 
+def test_a_watch_that_was_up_and_fell_silent_is_told_apart_from_one_that_ended(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    told: list[UpstreamsUpdated] = []
+
+    async def test() -> None:
+        server = Discovery()
+        await server.start()
+        directory = discovery_module.Directory(["a"], ["m"])
+        watch = discovery_module.Discovery(("127.0.0.1", server.port), directory,
+                                           lambda event, addresses: told.append(event))
+        for falls_silent in (True, False):
+            monkeypatch.setattr(discovery_module, "SILENCE_S", 0.05 if falls_silent else 600.0)
+            watch.subscribe(True)
+            await server.watched()
+            server.line(listing(entry("x", 1)))
+            await until(lambda: told[-1:] != [] and told[-1].kind is ListKind.FULL)
+            if not falls_silent:
+                server.writers[-1].transport.abort()
+            await until(lambda: told[-1].kind is ListKind.FAILED)
+        watch.stop()
+        server.stop()
+
+    run(test)
+    assert [event.silent for event in told if event.kind is ListKind.FAILED] == [True, False]
+
+
+def test_where_lists_are_pushed_the_agent_is_watched_for_good() -> None:
+    async def test() -> None:
+        agent = Discovery()
+        upstream = Upstream(answering(OK))
+        await upstream.start()
+        async with sidecar(discovery=agent, list_on_request=False) as it:
+            await agent.watched()
+            agent.writers[-1].transport.abort()
+            await agent.watched()
+            agent.line(listing(entry("late", upstream.port)))
+            async with asyncio.timeout(PATIENCE_S):
+                while status(await it.ask(request())) != 200:
+                    await asyncio.sleep(0.01)
+        upstream.stop()
+
+    run(test)
+
+
 def test_up_says_200_only_when_there_is_an_upstream() -> None:
     async def test() -> None:
         up = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
