Turns to dial that piled up while a process stood still are given up

Need: an instance keeps up to four turns to dial in hand. A fleet on a host that froze wakes with four each, all at one moment: of 5,000 instances 20,000 dials where 20 servers bear 2,000 a second. Now each begins its turns as at a start, at a random part of the gap; what is owed stays owed. Test: 5,000 that wake together keep every second under the bound (5,000 may dial at once without it).

--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -131,7 +131,8 @@
         self.peers = PeerKeeper(seeds)
         self.reloading = asyncio.Lock()
         self.recovery = RecoveryKeeper(
-            self.host, lambda: {name: pool.roster for name, pool in self.pools.items()}, self._reloaded)
+            self.host, lambda: {name: pool.roster for name, pool in self.pools.items()}, self._reloaded,
+            self._stood_still)
         self.current = Current(Generation(0, setup, {}, {}, {}))
         compiled = self.hooks.prepare(setup)
         self.apply(setup, read_lists(setup, frozenset()), compiled)
@@ -198,6 +199,10 @@
         self.recovery.follow()
         self.memory.follow(self.background)
 
+    def _stood_still(self) -> None:
+        for pool in self.pools.values():
+            pool.connections.stood_still(random.random())
+
     def _memory_of(self) -> Mapping[str, tuple[ServerPool, State]]:
         return {name: (pool.pool, pool.roster.state) for name, pool in self.pools.items()}
 
--- a/plovertrail/recovery_keeper.py
+++ b/plovertrail/recovery_keeper.py
@@ -29,10 +29,11 @@
     """The phase of one daemon. `settled` waits until no reload is under way."""
 
     def __init__(self, host: Host, rosters: Callable[[], Mapping[str, Roster]],
-                 settled: Callable[[], Awaitable[None]]) -> None:
+                 settled: Callable[[], Awaitable[None]], on_gap: Callable[[], None]) -> None:
         self.host = host
         self.rosters = rosters
         self.settled = settled
+        self.on_gap = on_gap  # what has piled up meanwhile is to be given up
         self.recovery = Recovery(clock_us())
         self.again = False  # it stood still once more while it caught up
         self.task: asyncio.Task[None] | None = None
@@ -65,6 +66,7 @@
     def stood_still(self, gap_us: int) -> None:
         """The process did nothing for so long; called before anything is acted on."""
         self.host.hold(gap_us)
+        self.on_gap()
         before = self.recovery.phase
         self.recovery.stood_still(gap_us, self.watches(), clock_us())
         self.changed(before)
--- a/plovertrail/upstreams/connections.py
+++ b/plovertrail/upstreams/connections.py
@@ -398,6 +398,11 @@
         else:
             self.dial_turns.change(budget.dial_gap_us, clock_us())
 
+    def stood_still(self, turn: float) -> None:
+        """The process did nothing for a while; `turn` as for `limit`."""
+        if self.dial_turns is not None:
+            self.dial_turns.stood_still(clock_us(), turn)
+
     def may_dial(self, upstream: int) -> bool:
         """Whether a further connection fits into this instance's part."""
         each = self.budget.connections_each
--- a/tests/decisions/test_share.py
+++ b/tests/decisions/test_share.py
@@ -120,6 +120,29 @@
     assert taken == share.DIAL_BURST and dials.next_us == now_us + 1_000_000
 
 
+def test_a_fleet_that_froze_and_wakes_at_one_moment_dials_as_evenly_as_one_that_starts() -> None:
+    rng = random.Random(1)
+    gap_us = budget(Fleet(5_000), Bounds(dials_per_s=100.0), 20).dial_gap_us
+    fleet = [Dials(gap_us, 0, rng.random()) for _ in range(5_000)]
+    woke_us = 3_600_000_000
+    assert sum(dials.may(woke_us) for dials in fleet) == 5_000  # all at once, four in a row each
+    seconds: Counter[int] = Counter()
+    for dials in fleet:
+        dials.stood_still(woke_us, rng.random())
+        at_us = max(woke_us, dials.next_us)
+        while at_us < woke_us + 10_000_000:
+            dials.took(at_us)
+            seconds[(at_us - woke_us) // 1_000_000] += 1
+            at_us = dials.next_us
+    assert max(seconds.values()) <= 20 * 100
+    dials = Dials(gap_us, 0, 0.5)
+    for _ in range(3):
+        dials.took(0)  # what is owed stays owed
+    before_us = dials.next_us
+    dials.stood_still(0, 0.0)
+    assert dials.next_us == before_us
+
+
 def test_turns_follow_a_fleet_that_grows_or_shrinks() -> None:
     dials = Dials(60_000_000, 0, 0.0)
     dials.took(0)
