--- a/plovertrail/decisions/share.py
+++ b/plovertrail/decisions/share.py
@@ -127,9 +127,8 @@
         self.spent_us = max(self.spent_us, now_us) + self.gap_us
 
     def stood_still(self, now_us: int, part: float) -> None:
-        """The process did nothing for a while, so its turns have piled up. Hazard: those of a whole fleet on a
-        host that froze would be taken at one moment, DIAL_BURST each; so it begins as a fleet does that
-        starts."""
+        """The process did nothing for a while, so its turns have piled up. Hazard: those of a whole fleet on
+        a host that froze would be taken at one moment, DIAL_BURST each; so it begins as at a start."""
         self.spent_us = max(self.spent_us, now_us + int(self.gap_us * part) + self.gap_us * (DIAL_BURST - 1))
 
     def change(self, gap_us: int, now_us: int) -> None:
--- a/tests/decisions/test_list.py
+++ b/tests/decisions/test_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
 
 import pytest
 
@@ -82,6 +83,17 @@
     assert instances < 40 or max(waits) > 1_000_000  # spread, where there are many
 
 
+def test_where_it_is_known_what_discovery_bears_even_silent_subscriptions_keep_to_it() -> None:
+    calls: Counter[int] = Counter()
+    for seed in range(5_000):
+        balancer = Balancer(settings(list_on_request=True, ask_within_us=60_000_000, instances=5_000,
+                                     list_calls_per_s=500.0), seed, START_US)
+        balancer.handle(START_US, UpstreamsUpdated(ListKind.FULL, [], 1))
+        actions = balancer.handle(START_US + 1, UpstreamsUpdated(ListKind.FAILED, silent=True))
+        calls[(min(each.at_us for each in actions if isinstance(each, SetTimer)) - START_US) // 1_000_000] += 1
+    assert max(calls.values()) <= 500
+
+
 def test_a_second_failure_before_the_repeat_does_not_double_the_calls() -> None:
     world = asking_world()
     world.advance(2_000_000)
