--- a/benchmarks/shared_counts.py
+++ b/benchmarks/shared_counts.py
@@ -85,9 +85,10 @@
     def start(self, number: int, sock: socket.socket) -> PeerTalk:
         talk = self.talk
         window = Window(int(talk.window_s * SECOND_US), round(talk.window_s / talk.bucket_s))
-        setup = PeersSetup(f"i{number}", self.addresses[number], tuple(self.addresses), "", talk.size,
-                           "bench", (KEY,), int(talk.period_s * SECOND_US), talk.fan_out, window, 4_096, True,
-                           talk.loss, int(talk.delay_s * SECOND_US), 1.0, talk.keys)
+        setup = PeersSetup(f"i{number}", self.addresses[number], self.addresses[number],
+                           tuple(self.addresses), "", talk.size, "bench", (KEY,),
+                           int(talk.period_s * SECOND_US), talk.fan_out, window, 4_096, True, talk.loss,
+                           int(talk.delay_s * SECOND_US), 1.0, talk.keys)
 
         def through(address: Any) -> bool:
             return not self.split or self.numbers[address] % 2 == number % 2
--- a/plovertrail/cli/__init__.py
+++ b/plovertrail/cli/__init__.py
@@ -8,6 +8,7 @@
 from plovertrail.cli.control import drain, status, undrain, wait
 from plovertrail.cli.counts import counts
 from plovertrail.cli.demo import demo
+from plovertrail.cli.fellows import explain, fellows
 from plovertrail.cli.hook import hook
 from plovertrail.cli.import_nginx import import_nginx
 from plovertrail.cli.route import route
@@ -22,6 +23,6 @@
     """A balancer that keeps its rules when things break."""
 
 
-for command in (serve, check, test, route, counts, status, wait, drain, undrain, seal, hook, import_nginx,
-                top, demo):
+for command in (serve, check, test, route, counts, fellows, explain, status, wait, drain, undrain, seal, hook,
+                import_nginx, top, demo):
     main.add_command(command)
--- a/plovertrail/config/operator.py
+++ b/plovertrail/config/operator.py
@@ -20,6 +20,7 @@
 import re2
 
 from plovertrail.config import limiters
+from plovertrail.config.fellows import FellowsSetup, read_fellows
 from plovertrail.config.hooks import MOST_A_ROUTE, HookSetup, read_hooks
 from plovertrail.config.peers import PeersSetup, read_peers
 from plovertrail.config.problems import ConfigError, Problem, did_you_mean
@@ -174,6 +175,7 @@
     limited: Mapping[str, tuple[str, ...]]  # the limiters of routes, by the routes' names
     peers: PeersSetup | None  # None: this instance counts alone
     fleet_tenants: frozenset[int]  # the tenants whose allowance is for all instances
+    fellows: FellowsSetup | None  # None: instances don't know one another
 
     def classes_at(self, pool: str) -> list[RequestClass]:
         """Those whose requests may go to a pool."""
@@ -239,6 +241,7 @@
                                      "daemon": {}, "websockets": {}, "fleet": {}, "hooks": {}, "limiters": {},
                                      "peers": {}, "routes": []}
             parts |= {key: item for key, item in raw.items() if type(item) is type(parts.get(key))}
+            parts["fellows"] = raw.get("fellows") if isinstance(raw.get("fellows"), dict) else None
             whole = FileTable(**parts)
         limits, instances = self.limits(whole.limits)
         tenants, fleet_tenants = self.tenants(whole.tenants, bool(whole.peers))
@@ -259,6 +262,11 @@
         peers = None
         if whole.peers:
             peers = read_peers(whole.peers, self.address, self.environment, instances, self.problems)
+        fellows = None
+        if whole.fellows is not None and not whole.peers:
+            self.wrong("fellows", "instances know one another by [peers], and there is none", "write [peers]")
+        elif whole.fellows is not None:
+            fellows = read_fellows(whole.fellows, peers, home, self.problems)
         self.limited: dict[str, tuple[str, ...]] = {}
         routes = self.routes(whole.routes, classes, whole)
         if not whole.routes and "routes" in raw:
@@ -270,7 +278,7 @@
         return Setup(self.path, limits, tuple(listeners), pools, tuple(classes.values()), key_headers,
                      tuple(tenants), RouteTable(routes), daemon.state_file, daemon.control_socket,
                      daemon.socket_log, websockets, fleet, hooks, self.hooked, limited_by, self.limited,
-                     peers, fleet_tenants)
+                     peers, fleet_tenants, fellows)
 
     def name(self, name: str, place: str) -> None:
         if not NAME.fullmatch(name):
--- a/plovertrail/config/peers.py
+++ b/plovertrail/config/peers.py
@@ -29,6 +29,7 @@
 class PeersTable(msgspec.Struct, kw_only=True):
     name: str
     address: str
+    listed_as: str = ""
     key_files: list[str]
     addresses: list[str] = []
     peers_from: str = ""
@@ -51,7 +52,8 @@
     """How this instance counts together with others."""
 
     name: str
-    address: Address
+    address: Address  # where it takes datagrams
+    listed_as: Address  # as the others list it
     addresses: tuple[Address, ...]  # of all, as written
     list_path: str  # the file that lists them in place of that; empty: none
     size: int  # instances, till such a list has been read
@@ -109,10 +111,13 @@
     if own[0] and ipaddress.IPv4Address(own[0]).is_unspecified:
         wrong("address", f"{table.address!r} is no address that others could send to",
               "write the one that the others list")
+    listed_as = own
+    if table.listed_as:
+        listed_as = address(environment(table.listed_as, "peers.listed_as"), "peers.listed_as")
     listed = tuple(address(text, f"peers.addresses[{number}]") for number, text in enumerate(table.addresses))
     if bool(table.addresses) == bool(table.peers_from):
         wrong("addresses", "write either addresses or peers_from", 'as addresses = ["10.0.0.1:7400"]')
-    if len(set(listed) | {own}) > MOST_PEERS:
+    if len(set(listed) | {listed_as}) > MOST_PEERS:
         wrong("addresses", f"{len(listed)} peers; at most {MOST_PEERS} are taken", "split the fleet")
     period_us = duration_us(table.period, "peers.period", problems)
     if len(problems) == known and period_us < LEAST_PERIOD_US:
@@ -126,10 +131,10 @@
     keys = _read_keys(table.key_files, wrong)
     if len(problems) > known:
         return None
-    size = instances if table.peers_from else len({*listed, own})
-    setup = PeersSetup(name, own, listed, table.peers_from, size, table.fleet, keys, period_us, table.fan_out,
-                       window, table.max_keys, table.alone == "share", table.loss, delay_us, table.most_part,
-                       table.keys_in_use)
+    size = instances if table.peers_from else len({*listed, listed_as})
+    setup = PeersSetup(name, own, listed_as, listed, table.peers_from, size, table.fleet, keys, period_us,
+                       table.fan_out, window, table.max_keys, table.alone == "share", table.loss, delay_us,
+                       table.most_part, table.keys_in_use)
     _check_bound(setup, table, wrong)
     return setup if len(problems) == known else None
 
--- a/plovertrail/config/written.py
+++ b/plovertrail/config/written.py
@@ -187,3 +187,4 @@
     hooks: dict[str, Any] = {}
     limiters: dict[str, Any] = {}
     peers: dict[str, Any] = {}
+    fellows: dict[str, Any] | None = None
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -29,6 +29,7 @@
 from plovertrail.fronts.ordinary import OrdinaryFront
 from plovertrail.fronts.sockets import SocketKeeper
 from plovertrail.generation import Current, Generation, make_generation
+from plovertrail.hearsay import HearsayKeeper
 from plovertrail.hooks.loader import HookLoader
 from plovertrail.host import Host, ServerPool
 from plovertrail.line_log import LineLog
@@ -42,7 +43,6 @@
 from plovertrail.store.memory import MemoryKeeper
 
 if TYPE_CHECKING:
-    from plovertrail.config.peers import PeersSetup
     from plovertrail.decisions.counts import Counts
     from plovertrail.hooks.engine import Compiled
 
@@ -118,8 +118,11 @@
         self.sockets = SocketKeeper(self.host, seeds(), self.lines)
         self.pools: dict[str, RunningPool] = {}
         self.keeper = StoreKeeper(setup.state_file, instance_name(setup))
-        self.memory = MemoryKeeper(self.keeper, self._memory_of, lambda: self.limiters,
+        self.memory = MemoryKeeper(self.keeper, self._pools, lambda: self.limiters,
                                    lambda: self.peers.counts)
+        self.peers = PeerKeeper(seeds)
+        self.hearsay = HearsayKeeper(self.host, self._pools, lambda: self.peers.judgements,
+                                     self.peers.hurry)
         self.background = Runner(self.loop)
         self.fronts: dict[str, OrdinaryFront] = {}
         self.control = ControlSocket(self, setup.control_socket)
@@ -128,7 +131,6 @@
         self.fleet_list = InstanceList("instances", self._fleet_listed)
         self.hooks = HookLoader(clock_us)
         self.limiters: dict[str, Limiter] = {}
-        self.peers = PeerKeeper(seeds)
         self.reloading = asyncio.Lock()
         self.recovery = RecoveryKeeper(
             self.host, lambda: {name: pool.roster for name, pool in self.pools.items()}, self._reloaded,
@@ -198,12 +200,14 @@
         self._list_changed()
         self.recovery.follow()
         self.memory.follow(self.background)
+        self.hearsay.follow(self.background)
 
-    def _stood_still(self) -> None:
+    def _stood_still(self, gap_us: int) -> None:
         for pool in self.pools.values():
             pool.connections.stood_still(random.random())
+        self.peers.stood_still(gap_us)
 
-    def _memory_of(self) -> Mapping[str, tuple[ServerPool, State]]:
+    def _pools(self) -> Mapping[str, tuple[ServerPool, State]]:
         return {name: (pool.pool, pool.roster.state) for name, pool in self.pools.items()}
 
     def _bind_peers(self, setup: operator.Setup) -> socket.socket | None:
@@ -211,7 +215,7 @@
 
     def _follow_peers(self, setup: operator.Setup, sock: socket.socket | None) -> Counts | None:
         """Count together with other instances, where the setup says so."""
-        counts = self._counts(setup.peers, sock)
+        counts = self._counts(setup, sock)
         if counts is not None:
             self.memory.recall_counts(counts)
         self.host.tenant_use = None
@@ -222,8 +226,8 @@
             self.host.tenant_use = TenantUse(counts, names, setup.fleet_tenants)
         return counts
 
-    def _counts(self, setup: PeersSetup | None, sock: socket.socket | None) -> Counts | None:
-        return self.peers.follow(setup, sock)
+    def _counts(self, setup: operator.Setup, sock: socket.socket | None) -> Counts | None:
+        return self.peers.follow(setup.peers, sock, setup.fellows)
 
     def _follow_limits(self, setup: operator.Setup, counts: Counts | None) -> None:
         """What keys have had counts on under other figures. Hazard: begun anew by every reload, a limit would
@@ -395,6 +399,7 @@
                 "sockets": len(self.sockets.relays),
                 "hooks": self.hooks.status(),
                 "peers": self.peers.status(self.generation.setup, self.limiters),
+                "fellows": self.peers.fellows_status(), "judgements": self.hearsay.status(),
                 "limiters": {name: limiter_status(each) for name, each in self.limiters.items()},
                 "state_file": self.keeper.status(), "kept": self.memory.status(),
                 "background": self.background.status()}
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -142,7 +142,7 @@
     """What this sidecar knows of one upstream."""
 
     __slots__ = ("entry", "pool", "used", "out", "silence", "mute", "mute_until_us", "muted", "window",
-                 "rest_until_us", "next_cold", "pace", "slow_start", "faults", "distrust", "rests")
+                 "rest_until_us", "next_cold", "pace", "slow_start", "faults", "distrust", "rests", "hearsay")
 
     def __init__(self, entry: api.Upstream, pool: Pool, classes: int) -> None:
         self.entry = entry
@@ -164,6 +164,7 @@
         self.faults = 0.0  # share of its attempts that failed at once or spoilt, smoothed
         self.distrust = 0.0  # the same, counted only while few upstreams fault
         self.rests = False  # as last logged
+        self.hearsay: dict[int, float] | None = None  # by class, how wrong other instances find it
 
 
 class Attempt:
@@ -217,6 +218,9 @@
         self.mates: dict[tuple[str, int], dict[int, Server]] = {}  # of each zone and cell
         self.muted = [0 for _ in settings.classes]  # how many rest for each class
         self.mutes: list[list[tuple[int, int]]] = [[] for _ in settings.classes]  # (until, number); heaps
+        self.hearsay: set[int] = set()  # upstreams that other instances find wrong
+        # called with each attempt that has had no answer for longer than one takes
+        self.silent: Callable[[Server, int], None] = lambda server, class_index: None
         self.rests: list[tuple[int, int]] = []  # (until, number), of rests and of warm-ups; a heap
         self.distrusted: dict[int, int] = {}  # by number, when to look again
         self.doubts: list[tuple[int, int]] = []  # (when, number); a heap
@@ -257,6 +261,8 @@
             self.requests[event.request].streaming = True
         elif isinstance(event, api.UpstreamsUpdated):
             self.on_list(event)
+        elif isinstance(event, api.Hearsay):
+            self.on_hearsay(event)
         if self.buffer is not None:
             self.fill_from_buffer()
         if self.buffer is not None or self.wanted_us < self.armed_us:
@@ -551,7 +557,7 @@
         for number in request.event.preferred if not request.attempts else ():
             server = self.servers.get(number)
             if server is not None and server.pool.credit >= 1.0 and self.share(server) > 0.0:
-                heard = server.silence[request.event.class_index] < SILENCE_BORNE
+                heard = self.doubtful(server, request.event.class_index) < SILENCE_BORNE
                 if heard and self.fits(request, server, some_rest):
                     return server
         return None
@@ -569,7 +575,7 @@
                 return None
             server = self.servers[number]
             if server not in tried and self.fits(request, server, some_rest):
-                silence = server.silence[index]
+                silence = self.doubtful(server, index)
                 if silence <= 0.0 or self.random.random() * (1.0 + silence / SILENCE_BORNE) ** 2 < 1.0:
                     return server
         found = []
@@ -577,10 +583,15 @@
                 self.servers[number] for number in group]:
             share = self.share(server)
             if share > 0.0 and self.fits(request, server, some_rest):
-                found.append((server, share / (1.0 + server.silence[index] / SILENCE_BORNE) ** 2))
+                found.append((server, share / (1.0 + self.doubtful(server, index) / SILENCE_BORNE) ** 2))
         found = [pair for pair in found if pair[0] not in tried] or found
         return self.random.choices(found, [share for _, share in found])[0][0] if found else None
 
+    def doubtful(self, server: Server, class_index: int) -> float:
+        """How much less an upstream is drawn for a class: by what it left unanswered here, and by hearsay."""
+        heard = server.hearsay.get(class_index, 0.0) if server.hearsay else 0.0
+        return server.silence[class_index] + heard
+
     def fits(self, request: Request, server: Server, some_rest: bool) -> bool:
         """Whether an upstream with a free slot may have this request now."""
         resting = some_rest and self.now_us < server.mute_until_us[request.event.class_index]
@@ -729,6 +740,7 @@
         could do harm where a class is slow by nature and seldom: its late answers then send it elsewhere."""
         server, index = attempt.server, attempt.class_index
         attempt.silent = True
+        self.silent(server, index)
         server.silence[index] += (1.0 - server.silence[index]) / SILENCE_MEMORY
         if not attempt.passed:
             server.mute[index] = min(server.mute[index] + 1, LONGEST_MUTE)
@@ -820,8 +832,9 @@
             # one that was turned away at once was next to no work for discovery; rule 3 goes by the asking
             waited = self.now_us - self.asked_list_us > FIRST_RETRY_US
             longest_us = int((LONGEST_WAIT if waited else 0.5) * self.settings.ask_within_us)
-            if event.silent:
-                # hazard: a turn as late as after a call that failed, with drains missed meanwhile (rule 3)
+            if event.silent and not self.settings.list_calls_per_s:
+                # hazard: a turn as late as after a call that failed, with drains missed meanwhile (rule 3);
+                # but what discovery surely bears, where that is known, is not gone beyond
                 longest_us = min(longest_us, SILENT_TURN_US)
             self.ask_list_at(self.now_us + self.list_turn_us(max(FIRST_RETRY_US, longest_us)))
             return
@@ -866,6 +879,22 @@
         for server in new:
             self.recall(server)
 
+    def on_hearsay(self, event: api.Hearsay) -> None:
+        """Other instances find upstreams wrong: these are drawn less, and never shut. Hazard: whatever they
+        say, it may be wrong; so of each class no more than a third is drawn less, the worst ones."""
+        for number in self.hearsay:
+            if number in self.servers:
+                self.servers[number].hearsay = None
+        self.hearsay = set()
+        most = int(MOST_DISTRUSTED * len(self.servers))
+        left = [most] * len(self.settings.classes)
+        for (number, index), part in sorted(event.held_back.items(), key=lambda each: -each[1]):
+            server = self.servers.get(number)
+            if server is not None and index < len(left) and left[index] > 0 and part > 0.0:
+                left[index] -= 1
+                server.hearsay = (server.hearsay or {}) | {index: min(1.0, part)}
+                self.hearsay.add(number)
+
     def list_turn_us(self, longest_us: int) -> int:
         """This sidecar's turn, at random, among all that ask for the list at one moment, as after a restart
         of the fleet or of discovery; the span doubles with each failure. Hazard: calls that come faster than
--- a/plovertrail/decisions/interface.py
+++ b/plovertrail/decisions/interface.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Container
+from collections.abc import Container, Mapping
 from dataclasses import dataclass, field
 
 
@@ -216,6 +216,14 @@
     token: int
 
 
+@dataclass(slots=True)
+class Hearsay:
+    """What other instances make of upstreams: how much less each is drawn for a class, from 0 to 1 (all that
+    is known went wrong). Whole: what is not in it is held back no more."""
+
+    held_back: Mapping[tuple[int, int], float] = field(default_factory=dict)  # by upstream and class index
+
+
 @dataclass(slots=True)
 class PeerMessage:
     sender: int
@@ -223,7 +231,7 @@
 
 
 Event = (UpstreamsUpdated | RequestArrived | RequestGone | AttemptEnded | StreamStarted | ProbeEnded
-         | TimerFired | PeerMessage)
+         | TimerFired | Hearsay | PeerMessage)
 
 
 # Actions
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -12,7 +12,7 @@
 import socket
 import struct
 from collections import deque
-from collections.abc import Callable, Container, Sequence
+from collections.abc import Callable, Container, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from itertools import islice
 from typing import TYPE_CHECKING
@@ -211,6 +211,8 @@
         self.tenant_use: TenantUse | None = None  # where instances count together
         self.servers_changed: Callable[[ServerPool, api.UpstreamsUpdated], None] = lambda pool, event: None
         self.reissues = Reissues()  # one budget for all pools
+        # called with each attempt that has ended, where instances tell one another of servers
+        self.attempt_over: Callable[[ServerPool, int, int, api.Outcome, int], None] | None = None
         self.pools: list[ServerPool] = []
         self.requests: dict[int, Request] = {}
         self.last_ident = 0
@@ -339,6 +341,10 @@
         self._tell_list(pool, pool.narrowed(pool.sliced(event, addresses)))
         self._tell_rest(pool, event.kind)
 
+    def heard_of(self, pool: ServerPool, held_back: Mapping[tuple[int, int], float]) -> None:
+        """What other instances make of a pool's servers, by number and class."""
+        self._tell(pool, api.Hearsay(held_back))
+
     def use_subset(self, pool: ServerPool, subset: Subset) -> None:
         """This instance uses a part of a pool's servers from now on. Before the first list."""
         pool.subset = subset
@@ -693,6 +699,9 @@
         request.last = result
         elapsed_us = clock_us() - attempt.sent_us
         request.work_us += elapsed_us
+        if self.attempt_over is not None:
+            self.attempt_over(attempt.pool, attempt.upstream, request.call.class_index, result.outcome,
+                              elapsed_us)
         request.standing.attempt_ended(result.outcome)
         if result.outcome is api.Outcome.OK:
             self._answer(request.ident, Answer(Verdict.SERVED, result=result))
--- /dev/null
+++ b/plovertrail/peers/fellows_wire.py
@@ -0,0 +1,173 @@
+"""Datagrams between fellows: version 2 beside the counts' version 1, on one socket and under the same keys.
+
+    2 bytes "pt", 1 version, 8 the fleet, 4 which key signs, 8 the receiver's address, 1 kind, 1 whether the
+    sender doubts itself, 8 number, the sender's word, the subject's name and address, 1 how many words, the
+    words, 1 how many rows of evidence, the rows; 16 bytes of HMAC-SHA256 over all before it.
+
+A word: 1 length and a name, 4 and 2 an IPv4 address and a port, 8 incarnation, 1 state, 1 length and a zone.
+A row: 8 teller, 8 sequence, 8 server, 4 class, 2 each attempts, faults, silent and full in sixteenths, 2 age
+in 10 ms. Names and zones are UTF-8. Integers are big-endian.
+"""
+
+from __future__ import annotations
+
+import hmac
+import socket
+import struct
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from plovertrail.config.peers import LONGEST_NAME
+from plovertrail.decisions.fellows import Address, Kind, State, Word
+from plovertrail.decisions.judgements import Evidence
+from plovertrail.peers.wire import LARGEST, MAC, BadDatagramError, Dropped, key_id, short
+
+VERSION = 2
+HEAD = struct.Struct(">2sB8s4s8sBBQ")
+PLACE = struct.Struct(">4sH")
+RANK = struct.Struct(">QB")
+ROW = struct.Struct(">QQQIHHHHH")
+SIXTEENTHS = 16.0
+MOST_IN_ROW = 65_535 / SIXTEENTHS
+AGE_US = 10_000
+LONGEST_ZONE = 32
+MOST_WORDS = 20
+NOWHERE: Address = ("0.0.0.0", 0)
+
+
+@dataclass(frozen=True, slots=True)
+class Datagram:
+    """What one fellow says to another."""
+
+    kind: Kind
+    number: int
+    sender: Word
+    unwell: bool = False
+    subject: str = ""
+    subject_address: Address = NOWHERE
+    words: tuple[Word, ...] = ()
+    rows: tuple[Evidence, ...] = ()
+
+
+def text_bytes(text: str, longest: int) -> bytes:
+    data = text.encode("utf-8", "replace")[:longest]
+    return bytes([len(data)]) + data
+
+
+def word_bytes(word: Word) -> bytes:
+    place = PLACE.pack(socket.inet_aton(word.address[0]), word.address[1])
+    rank = RANK.pack(word.incarnation, word.state)
+    return b"".join([text_bytes(word.name, LONGEST_NAME), place, rank, text_bytes(word.zone, LONGEST_ZONE)])
+
+
+def row_bytes(row: Evidence) -> bytes:
+    parts = (int(min(part, MOST_IN_ROW) * SIXTEENTHS + 0.5) for part in
+             (row.attempts, row.faults, row.silent, row.full))
+    age = min(65_535, row.age_us // AGE_US)
+    return ROW.pack(row.teller, row.sequence, row.key[0], row.key[1], *parts, age)
+
+
+class Reader:
+    """Goes through a datagram's bytes; raises BadDatagramError where they end or make no sense."""
+
+    def __init__(self, data: bytes, at: int) -> None:
+        self.data = data
+        self.at = at
+
+    def take(self, count: int) -> bytes:
+        found = self.data[self.at:self.at + count]
+        if len(found) < count:
+            raise BadDatagramError(Dropped.GARBAGE)
+        self.at += count
+        return found
+
+    def text(self, longest: int) -> str:
+        length = self.take(1)[0]
+        if length > longest:
+            raise BadDatagramError(Dropped.GARBAGE)
+        try:
+            return self.take(length).decode()
+        except UnicodeDecodeError:
+            raise BadDatagramError(Dropped.GARBAGE) from None
+
+    def address(self) -> Address:
+        host, port = PLACE.unpack(self.take(PLACE.size))
+        return socket.inet_ntoa(host), port
+
+    def word(self) -> Word:
+        name, address = self.text(LONGEST_NAME), self.address()
+        incarnation, state = RANK.unpack(self.take(RANK.size))
+        zone = self.text(LONGEST_ZONE)
+        if state > State.GONE or not name:
+            raise BadDatagramError(Dropped.GARBAGE)
+        return Word(name, address, incarnation, State(state), zone)
+
+    def row(self) -> Evidence:
+        teller, sequence, server, kind, *parts, age = ROW.unpack(self.take(ROW.size))
+        attempts, faults, silent, full = (part / SIXTEENTHS for part in parts)
+        return Evidence(teller, sequence, (server, kind), attempts, faults, silent, full, age * AGE_US)
+
+
+class FellowsCodec:
+    """Writes and reads the datagrams of one fleet; keys as the counts' codec has them."""
+
+    def __init__(self, fleet: str, keys: Sequence[bytes]) -> None:
+        self.fleet = short(fleet)
+        self.keys = {key_id(key): key for key in keys}
+        self.signs = key_id(keys[0])
+
+    def write(self, to: bytes, datagram: Datagram) -> bytes:
+        """Its bytes, of what fits: words before evidence, each in its order. The sender's name, its zone and
+        the subject's name always do."""
+        head = HEAD.pack(b"pt", VERSION, self.fleet, self.signs, to, datagram.kind, datagram.unwell,
+                         datagram.number)
+        fixed = b"".join([head, word_bytes(datagram.sender), text_bytes(datagram.subject, LONGEST_NAME),
+                          PLACE.pack(socket.inet_aton(datagram.subject_address[0]),
+                                     datagram.subject_address[1])])
+        left = LARGEST - MAC - len(fixed) - 2
+        words = fitting([word_bytes(word) for word in datagram.words[:MOST_WORDS]], left)
+        left -= sum(map(len, words))
+        rows = [row_bytes(row) for row in datagram.rows[:left // ROW.size]]
+        body = b"".join([fixed, bytes([len(words)]), *words, bytes([len(rows)]), *rows])
+        return body + hmac.digest(self.keys[self.signs], body, "sha256")[:MAC]
+
+    def room(self, datagram: Datagram) -> int:
+        """How many rows of evidence surely fit beside its words."""
+        taken = sum(len(word_bytes(word)) for word in (datagram.sender, *datagram.words[:MOST_WORDS]))
+        left = LARGEST - MAC - HEAD.size - taken - len(datagram.subject.encode()) - 3 - PLACE.size
+        return max(0, left // ROW.size)
+
+    def read(self, data: bytes, mine: frozenset[bytes]) -> Datagram:
+        """A datagram to one of our addresses; raises BadDatagramError. Nothing of it is used before its code
+        has been checked, in constant time."""
+        if len(data) < HEAD.size + MAC or len(data) > LARGEST or data[:2] != b"pt":
+            raise BadDatagramError(Dropped.GARBAGE)
+        _, version, fleet, signed_by, to, kind, unwell, number = HEAD.unpack_from(data)
+        if version != VERSION:
+            raise BadDatagramError(Dropped.VERSION)
+        if fleet != self.fleet:
+            raise BadDatagramError(Dropped.FLEET)
+        key = self.keys.get(signed_by)
+        if key is None:
+            raise BadDatagramError(Dropped.KEY)
+        if not hmac.compare_digest(hmac.digest(key, data[:-MAC], "sha256")[:MAC], data[-MAC:]):
+            raise BadDatagramError(Dropped.FORGED)
+        if to not in mine:
+            raise BadDatagramError(Dropped.NOT_FOR_US)
+        if not Kind.PROBE <= kind <= Kind.TELL:
+            raise BadDatagramError(Dropped.GARBAGE)
+        reader = Reader(data[:-MAC], HEAD.size)
+        sender, subject, subject_address = reader.word(), reader.text(LONGEST_NAME), reader.address()
+        words = tuple(reader.word() for _ in range(reader.take(1)[0]))
+        rows = tuple(reader.row() for _ in range(reader.take(1)[0]))
+        if reader.at != len(data) - MAC:
+            raise BadDatagramError(Dropped.GARBAGE)
+        return Datagram(Kind(kind), number, sender, bool(unwell), subject, subject_address, words, rows)
+
+
+def fitting(parts: list[bytes], room: int) -> list[bytes]:
+    """The first ones, as many as fit."""
+    for count in range(len(parts), -1, -1):
+        if sum(map(len, parts[:count])) <= room:
+            return parts[:count]
+    return []
--- a/plovertrail/peers/keeper.py
+++ b/plovertrail/peers/keeper.py
@@ -10,9 +10,11 @@
 from plovertrail.decisions.limits import KeyedBy, Limiter
 
 if TYPE_CHECKING:
+    from plovertrail.config.fellows import FellowsSetup
     from plovertrail.config.operator import Setup
     from plovertrail.config.peers import PeersSetup
     from plovertrail.decisions.counts import Counts
+    from plovertrail.decisions.judgements import Judgements
     from plovertrail.peers.talk import PeerTalk
 
 
@@ -42,7 +44,8 @@
                 "peers.address", f"can't take datagrams on {peers.address[0]}:{peers.address[1]}: "
                 f"{error.strerror}", "write an address that is free here")]) from None
 
-    def follow(self, setup: PeersSetup | None, sock: socket.socket | None) -> Counts | None:
+    def follow(self, setup: PeersSetup | None, sock: socket.socket | None,
+               fellows: FellowsSetup | None) -> Counts | None:
         """Talk under a setup; `sock` is there if its address is new. The counts of all instances."""
         talk = self.talk
         if setup is None:
@@ -50,6 +53,7 @@
             return None
         if talk is not None and talk.fits(setup):
             talk.configure(setup)
+            talk.follow_fellows(fellows)
             return talk.counts
         if sock is None:
             assert talk is not None
@@ -58,8 +62,30 @@
         from plovertrail.peers.talk import PeerTalk
 
         self.talk = PeerTalk(setup, sock, self.seeds())
+        self.talk.follow_fellows(fellows)
         return self.talk.counts
 
+    @property
+    def judgements(self) -> Judgements | None:
+        """What instances tell one another of servers; None: nothing."""
+        fellows = self.talk.fellows if self.talk is not None else None
+        return fellows.judgements if fellows is not None else None
+
+    def hurry(self, on_news: Callable[[], None]) -> None:
+        """What was seen of a server may be news; `on_news` is called with each that is, here or elsewhere."""
+        if self.talk is not None and self.talk.fellows is not None:
+            self.talk.fellows.on_news = on_news
+            self.talk.fellows.hurry()
+
+    def stood_still(self, gap_us: int) -> None:
+        if self.talk is not None and self.talk.fellows is not None:
+            self.talk.fellows.stood_still(gap_us)
+
+    def fellows_status(self) -> dict[str, Any]:
+        """Who is there; nothing where they don't know one another."""
+        fellows = self.talk.fellows if self.talk is not None else None
+        return fellows.status() if fellows is not None else {}
+
     def stop(self) -> None:
         talk, self.talk = self.talk, None
         if talk is not None:
--- a/plovertrail/peers/talk.py
+++ b/plovertrail/peers/talk.py
@@ -8,7 +8,7 @@
 import random
 import socket
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from plovertrail.clock import clock_us
 from plovertrail.config.peers import MOST_PEERS, PeersSetup
@@ -18,8 +18,13 @@
 from plovertrail.peers.wire import LARGEST, Codec, Dropped
 from plovertrail.sources.instances import InstanceList
 
+if TYPE_CHECKING:
+    from plovertrail.config.fellows import FellowsSetup
+    from plovertrail.peers.fellow_talk import FellowTalk
+
 log = logging.getLogger(__name__)
 
+FELLOWS_VERSION = b"\x02"  # the third byte of what fellows say (peers/fellows_wire.py)
 READ_AT_ONCE = 64  # datagrams in one turn of the loop; the others wait in the socket's buffer
 LOG_GAP_S = 10.0  # between two lines of one kind
 
@@ -67,7 +72,9 @@
         self.sock = sock
         self.counts = new_counts(setup)
         codec = Codec(setup.fleet, setup.keys, setup.window)
-        self.gossip = Gossip(self.counts, codec, setup.address, random.Random(seed))
+        self.gossip = Gossip(self.counts, codec, setup.listed_as, random.Random(seed))
+        self.fellows: FellowTalk | None = None
+        self.seed = seed
         self.lines = BoundedLog()
         self.listed: tuple[Address, ...] = ()  # by the file
         self.list = InstanceList("peers", self._peers_listed)
@@ -82,7 +89,8 @@
     def fits(self, setup: PeersSetup) -> bool:
         """Whether it can go on under another setup, with what has been counted."""
         mine = self.setup
-        return (mine.name, mine.address, mine.window) == (setup.name, setup.address, setup.window)
+        return ((mine.name, mine.address, mine.listed_as, mine.window)
+                == (setup.name, setup.address, setup.listed_as, setup.window))
 
     def configure(self, setup: PeersSetup) -> None:
         """Go on with other peers, keys or times; what has been counted stays. Hazard: a key that is changed
@@ -93,7 +101,26 @@
             self.listed = ()
         self._list()
 
+    def follow_fellows(self, setup: FellowsSetup | None) -> None:
+        """Know one another as configured now."""
+        if self.fellows is not None and (setup is None or not self.fellows.fits(self.setup, setup)):
+            self.fellows.stop()
+            self.fellows = None
+        if setup is None:
+            return
+        if self.fellows is None:
+            from plovertrail.peers.fellow_talk import FellowTalk
+
+            self.fellows = FellowTalk(self.setup, setup, self._seeds(), self._send, self.seed)
+        else:
+            self.fellows.configure(self.setup, setup)
+            self.fellows.seeds(self._seeds())
+
+    def _seeds(self) -> tuple[Address, ...]:
+        return (*self.setup.addresses, *self.listed)
+
     def stop(self) -> None:
+        self.follow_fellows(None)
         self.loop.remove_reader(self.sock)
         self.timer.cancel()
         self.list.stop()
@@ -109,6 +136,8 @@
 
     def _list(self) -> None:
         self.gossip.listed((*self.setup.addresses, *self.listed), self.setup.fan_out)
+        if self.fellows is not None:
+            self.fellows.seeds(self._seeds())
         unread = self.setup.list_path and not self.list.read
         self.setup.apply_to(self.counts, self.setup.size if unread else self.counts.size)
 
@@ -120,17 +149,20 @@
         self.next = max(self.next + self.setup.period_us / 1e6, now + self.setup.period_us / 2e6)
         self.timer = self.loop.call_at(self.next, self._tick)
         for address, data in self.gossip.tick(clock_us()):
-            try:
-                self.sock.sendto(data, address)
-            except OSError as error:
-                # a lost datagram among others; what it said goes out again
-                self.unsent += 1
-                self.lines.tell("unsent", f"nothing can be sent to {told(address)}: {error.strerror}")
+            self._send(data, address)
         for name in self.counts.twins.keys() - self.twins:
             who = "this instance and another" if name == self.counts.name else "two instances"
             log.error("peers: %s are called %r: both count, but give each a name of its own", who, name)
         self.twins = set(self.counts.twins)
 
+    def _send(self, data: bytes, address: Address) -> None:
+        try:
+            self.sock.sendto(data, address)
+        except OSError as error:
+            # a lost datagram among others; what it said goes out again
+            self.unsent += 1
+            self.lines.tell("unsent", f"nothing can be sent to {told(address)}: {error.strerror}")
+
     def _readable(self) -> None:
         now_us = clock_us()
         for _ in range(READ_AT_ONCE):
@@ -142,7 +174,10 @@
                 if error.errno != errno.ECONNREFUSED:  # of an earlier one that nobody took
                     self.lines.tell("unread", f"datagrams can't be read: {error.strerror}")
                 return
-            why = self.gossip.received(data, address, now_us)
+            if self.fellows is not None and data[2:3] == FELLOWS_VERSION:
+                why = self.fellows.received(data, address)
+            else:
+                why = self.gossip.received(data, address, now_us)
             if why is not None and why is not Dropped.REPEATED:
                 self.lines.tell(why, f"a datagram from {told(address)} is dropped: {why.value}")
 
--- a/plovertrail/recovery_keeper.py
+++ b/plovertrail/recovery_keeper.py
@@ -29,7 +29,7 @@
     """The phase of one daemon. `settled` waits until no reload is under way."""
 
     def __init__(self, host: Host, rosters: Callable[[], Mapping[str, Roster]],
-                 settled: Callable[[], Awaitable[None]], on_gap: Callable[[], None]) -> None:
+                 settled: Callable[[], Awaitable[None]], on_gap: Callable[[int], None]) -> None:
         self.host = host
         self.rosters = rosters
         self.settled = settled
@@ -66,7 +66,7 @@
     def stood_still(self, gap_us: int) -> None:
         """The process did nothing for so long; called before anything is acted on."""
         self.host.hold(gap_us)
-        self.on_gap()
+        self.on_gap(gap_us)
         before = self.recovery.phase
         self.recovery.stood_still(gap_us, self.watches(), clock_us())
         self.changed(before)
--- a/plovertrail/rehearsal/daemon.py
+++ b/plovertrail/rehearsal/daemon.py
@@ -11,7 +11,6 @@
 
 from plovertrail.clock import clock_us
 from plovertrail.config import operator
-from plovertrail.config.peers import PeersSetup
 from plovertrail.config.problems import ConfigError, Problem
 from plovertrail.daemon import Daemon
 from plovertrail.decisions.counts import Counts
@@ -170,13 +169,13 @@
     def _bind_peers(self, setup: operator.Setup) -> None:
         return None
 
-    def _counts(self, setup: PeersSetup | None, sock: socket.socket | None) -> Counts | None:
+    def _counts(self, setup: operator.Setup, sock: socket.socket | None) -> Counts | None:
         """What the daemon would count with its peers; they are played."""
-        counts, self.counts = self.counts, None
-        if setup is not None:
-            if counts is None or (counts.name, counts.window) != (setup.name, setup.window):
-                counts = Counts(setup.name, 1, setup.window, clock_us())
-            setup.apply_to(counts, setup.size)
+        counts, self.counts, peers = self.counts, None, setup.peers
+        if peers is not None:
+            if counts is None or (counts.name, counts.window) != (peers.name, peers.window):
+                counts = Counts(peers.name, 1, peers.window, clock_us())
+            peers.apply_to(counts, peers.size)
             self.counts = counts
         return self.counts
 
@@ -286,6 +285,6 @@
             problem = Problem("peers.peers_from", told, "a rehearsal reads it now")
             raise ConfigError(setup.path, [problem])
         addresses = tuple(entry.address for entry in listed.entries)
-        peers = replace(peers, addresses=addresses, list_path="", size=len({*addresses, peers.address}))
+        peers = replace(peers, addresses=addresses, list_path="", size=len({*addresses, peers.listed_as}))
     return replace(setup, pools=pools, fleet=fleet, peers=peers, state_file="", control_socket="",
                    socket_log="")
--- a/standins/cluster/instances.py
+++ b/standins/cluster/instances.py
@@ -25,6 +25,34 @@
 log_to_stderr()
 asyncio.run(daemon.serve(load(sys.argv[1])))
 """
+LIAR = """import sys
+from plovertrail.decisions import judgements
+from plovertrail.cli import main
+def lie(self, most, size, doubts_itself, now_us):
+    self.sequence += 1
+    keys = list(self.own)[:most]
+    return [judgements.Evidence(self.me, self.sequence, key, 4000.0, 4000.0, 0.0, 0.0, 0) for key in keys]
+judgements.Judgements.tell = lie
+judgements.Judgements.accused = lambda self, now_us: set(self.own)
+main(["serve", sys.argv[1]])
+"""
+TALK_PORT = 7400
+TALK = """
+[peers]
+name = "i{number}"
+address = "{host}:{port}"
+listed_as = "{known_as}"
+addresses = [{all}]
+key_files = ["{key}"]
+period = "1s"
+window = "30s"
+delay = "20ms"
+loss = 0.3
+[fellows]
+period = "500ms"
+gossip = "100ms"
+judgements = {judgements}
+"""
 SITE = """
 [daemon]
 control_socket = "{folder}/control"
@@ -67,6 +95,8 @@
     deadline: str = "3s"
     plain_loop: bool = False  # it runs on a loop that doesn't notice gaps
     port: int = 8080
+    talk: str = ""  # what its file says of other instances
+    lies: bool = False  # it calls all servers bad
     process: subprocess.Popen[bytes] | None = None
     stopped: list[list[float]] = field(default_factory=list)
     killed: list[list[float]] = field(default_factory=list)
@@ -78,6 +108,11 @@
         pid = os.getpid()
         return f"127.{64 + (pid >> 8) % 64}.{pid % 256}.{self.number + 1}"
 
+    @property
+    def talks_at(self) -> tuple[str, int]:
+        """Where it takes datagrams."""
+        return self.host, TALK_PORT
+
     @property
     def control(self) -> str:
         return f"{self.folder}/control"
@@ -92,7 +127,7 @@
         self.folder.mkdir(exist_ok=True)
         path = self.folder / "site.toml"
         path.write_text(SITE.format(folder=self.folder, host=self.host, port=self.port, aim=self.aim,
-                                    deadline=self.deadline, servers=self.servers))
+                                    deadline=self.deadline, servers=self.servers) + self.talk)
         return path
 
     def start(self) -> None:
@@ -100,11 +135,18 @@
         path = self.write()
         with open(self.folder / "log", "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, *(("-c", PLAIN) if self.plain_loop else SERVE), str(path)], stderr=log,
+                [sys.executable, *self.program, str(path)], stderr=log,
                 stdin=subprocess.DEVNULL, env=os.environ | {"PYTHONUNBUFFERED": "1"})
         for span in self.killed:
             span[1] = min(span[1], time.monotonic())
 
+    @property
+    def program(self) -> tuple[str, ...]:
+        """What it runs."""
+        if self.lies:
+            return "-c", LIAR
+        return ("-c", PLAIN) if self.plain_loop else SERVE
+
     async def ready(self) -> None:
         """Until it serves in full."""
         ends = time.monotonic() + PATIENCE_S
@@ -185,3 +227,11 @@
             self.process.kill()
             self.process.wait()
             return None
+
+
+def talk_text(instance: Instance, known_as: list[tuple[str, int]], key: Path, judgements: bool) -> str:
+    """What its file says of the others, each known by its place in the switch between them."""
+    places = [f"{host}:{port}" for host, port in known_as]
+    return TALK.format(number=instance.number, host=instance.host, port=TALK_PORT,
+                       known_as=places[instance.number], key=key, judgements=str(judgements).lower(),
+                       all=", ".join(f'"{place}"' for place in places))
--- a/standins/cluster/play.py
+++ b/standins/cluster/play.py
@@ -10,11 +10,11 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from standins.cluster.instances import Instance
+from standins.cluster.instances import Instance, talk_text
 from standins.cluster.judge import Verdict, judge
 from standins.cluster.load import Load
-from standins.cluster.relay import TcpRelay, Way
-from standins.cluster.schedule import OF_PROCESS, OF_SERVER, Event, Schedule
+from standins.cluster.relay import Switch, TcpRelay, Way
+from standins.cluster.schedule import OF_PROCESS, OF_SERVER, OF_TALK, Event, Schedule
 from standins.cluster.servers import ServerList, Shop
 
 
@@ -32,6 +32,7 @@
     relays: dict[tuple[int, int], TcpRelay] = field(default_factory=dict)  # by instance and place
     all_relays: list[TcpRelay] = field(default_factory=list)
     told: list[str] = field(default_factory=list)  # what was done, and when
+    switch: Switch | None = None  # between instances, where they talk
     begins: float = 0.0  # of the play, by the monotonic clock
 
     def links(self, event: Event) -> list[TcpRelay]:
@@ -52,6 +53,8 @@
                 await self.change(number, event.do)
             for each in self.lists:
                 each.write()
+        elif event.do in OF_TALK:
+            self.talk(event)
         else:
             self.fault(event)
         self.told.append(f"{event.at:.2f} s  {event.do} instances {list(event.instances)} "
@@ -60,8 +63,8 @@
     async def change(self, number: int, do: str) -> None:
         """What becomes of one server; the lists are written after it."""
         shop = self.shops[number]
-        if do in ("silent", "well"):
-            shop.silent = do == "silent"
+        if do in ("silent", "failing", "well"):
+            shop.silent, shop.failing = do == "silent", do == "failing"
         elif do == "undrain":
             shop.told_drain = float("inf")
         else:
@@ -81,6 +84,23 @@
             self.relays[one, number] = relay
             listed.ports[shop.name] = relay.port
 
+    def talk(self, event: Event) -> None:
+        """What becomes of datagrams between instances."""
+        assert self.switch is not None
+        for one in event.instances:
+            for other in event.others:
+                for pair, name in (((one, other), "forth"), ((other, one), "back")):
+                    way = self.switch.ways.get(pair)
+                    if way is None or event.link not in (name, "both"):
+                        continue
+                    if event.do == "split":
+                        way.cut()
+                    elif event.do == "heal":
+                        way.mend()
+                    else:
+                        way.loss, way.repeats, way.reordered = event.loss, event.repeats, event.reordered
+                        way.delay_s, way.jitter_s = event.seconds, event.jitter
+
     def fault(self, event: Event) -> None:
         """On the links between instances and servers."""
         for relay in self.links(event):
@@ -120,6 +140,14 @@
                  for one in range(schedule.instances)]
     load = Load(instances, random.Random(rng.random()), schedule.per_s, schedule.unsafe, schedule.deadline_s)
     it = Cluster(schedule, rng, instances, load)
+    if schedule.fellows:
+        it.switch = Switch([each.talks_at for each in instances], random.Random(rng.random()))
+        await it.switch.start()
+        key = folder / "key"
+        key.write_text("0123456789abcdef0123456789abcdef")
+        for each in instances:
+            each.lies = each.number >= schedule.instances - schedule.liars
+            each.talk = talk_text(each, it.switch.known_as, key, schedule.judgements)
     it.lists = [ServerList(each.servers, it.shops, {}) for each in instances]
     try:
         for number in range(schedule.servers):
@@ -131,6 +159,8 @@
         yield it
     finally:
         await asyncio.gather(*(asyncio.to_thread(each.end) for each in instances))
+        if it.switch is not None:
+            it.switch.stop()
         for relay in it.all_relays:
             relay.stop()
         for shop in (*it.shops, *it.gone):
--- a/standins/cluster/relay.py
+++ b/standins/cluster/relay.py
@@ -4,15 +4,14 @@
 
 import asyncio
 import random
-from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 
 from standins.listening import StreamListener
 
 Address = tuple[str, int]
 CHUNK = 64 * 1024
-MOST_HELD = 1024  # datagrams on their way through one relay; more are dropped, as a full queue would
+MOST_HELD = 4096  # datagrams on their way at once; more are dropped, as a full queue would
 
 
 @dataclass
@@ -93,27 +92,36 @@
             writer.transport.abort()
 
 
-class UdpRelay(asyncio.DatagramProtocol):
-    """One way of datagrams: what reaches its port goes on to `target`, through `out` if that is set, else
-    from its own socket, which the target then sees as the sender."""
+class Switch:
+    """Datagrams between instances: each has an address that the others know it by, behind which the switch
+    carries what comes from one to another as the way between these two is. What reaches an instance comes
+    from the address that its sender is known by."""
 
-    def __init__(self, target: Address, rng: random.Random, way: Way | None = None) -> None:
-        self.target = target
+    def __init__(self, bound: list[Address], rng: random.Random) -> None:
+        self.bound = bound  # where each instance takes datagrams, by number
+        self.numbers = {address: number for number, address in enumerate(bound)}
         self.rng = rng
-        self.way = way or Way()
-        self.transport: asyncio.DatagramTransport | None = None
-        self.out: Callable[[bytes, Address], None] | None = None  # how it leaves; None: from this socket
-        self.port = 0
+        self.ways: dict[tuple[int, int], Way] = {
+            (one, other): Way() for one in range(len(bound)) for other in range(len(bound)) if one != other}
+        self.transports: list[asyncio.DatagramTransport] = []
+        self.known_as: list[Address] = []
         self.passed = self.lost = 0
         self.held = 0
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
-        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=("127.0.0.1", 0))
-        self.port = self.transport.get_extra_info("sockname")[1]
-
-    def datagram_received(self, data: bytes, address: Address) -> None:
-        way = self.way
+        for number in range(len(self.bound)):
+            transport, _ = await loop.create_datagram_endpoint(
+                partial(Port, self, number), local_addr=("127.0.0.1", 0))
+            self.transports.append(transport)
+            self.known_as.append(transport.get_extra_info("sockname")[:2])
+
+    def came(self, data: bytes, sender: Address, to: int) -> None:
+        """A datagram for an instance has come from the place where another one sends."""
+        number = self.numbers.get(sender)
+        if number is None or number == to:
+            return
+        way = self.ways[number, to]
         if not way.open.is_set() or self.rng.random() < way.loss or self.held >= MOST_HELD:
             self.lost += 1
             return
@@ -123,18 +131,26 @@
             if self.rng.random() < way.reordered:
                 wait_s += 2 * (way.delay_s + way.jitter_s) + 0.01
             self.held += 1
-            asyncio.get_running_loop().call_later(wait_s, self.leave, data)
+            asyncio.get_running_loop().call_later(wait_s, self.leave, data, number, to)
 
-    def leave(self, data: bytes) -> None:
+    def leave(self, data: bytes, sender: int, to: int) -> None:
         self.held -= 1
         self.passed += 1
-        if self.out is not None:
-            self.out(data, self.target)
-        elif self.transport is not None:
-            self.transport.sendto(data, self.target)
+        if self.transports:
+            self.transports[sender].sendto(data, self.bound[to])
 
     def stop(self) -> None:
-        if self.transport is not None:
-            with suppress(OSError):
-                self.transport.close()
-            self.transport = None
+        for transport in self.transports:
+            transport.close()
+        self.transports = []
+
+
+class Port(asyncio.DatagramProtocol):
+    """Where datagrams for one instance come in."""
+
+    def __init__(self, switch: Switch, number: int) -> None:
+        self.switch = switch
+        self.number = number
+
+    def datagram_received(self, data: bytes, address: Address) -> None:
+        self.switch.came(data, address, self.number)
--- a/standins/cluster/schedule.py
+++ b/standins/cluster/schedule.py
@@ -29,11 +29,15 @@
 INSTANCES, SERVERS, LINK = "instances", "servers", "link"
 OF_PROCESS = ("stop", "wake", "kill", "start", "lose_state", "keep_state", "old_state", "fill_disk",
               "free_disk", "hide_list", "show_list")  # methods of an instance
-OF_SERVER = ("drain", "undrain", "silent", "well", "replace")
+OF_SERVER = ("drain", "undrain", "silent", "failing", "well", "replace")
+OTHERS = "others"  # of the talk between instances: that between `instances` and these
+OF_TALK = {"split": (OTHERS, LINK), "heal": (OTHERS, LINK),
+           "blur": (OTHERS, LINK, "loss", "repeats", "reordered", "seconds", "jitter")}
 OF_LINK = {"cut": (LINK,), "mend": (LINK,), "delay": (LINK, "seconds", "jitter"),
            "slow": (LINK, "bytes_per_s"), "reset": (), "refuse": (), "accept": ()}
 KEYS = (dict.fromkeys(OF_PROCESS, (INSTANCES,)) | dict.fromkeys(OF_SERVER, (SERVERS,))
-        | {do: (INSTANCES, SERVERS, *more) for do, more in OF_LINK.items()})
+        | {do: (INSTANCES, SERVERS, *more) for do, more in OF_LINK.items()}
+        | {do: (INSTANCES, *more) for do, more in OF_TALK.items()})
 WAYS = ("both", "forth", "back")
 
 
@@ -49,10 +53,14 @@
     do: str
     instances: tuple[int, ...] = ()
     servers: tuple[int, ...] = ()
-    link: str = "both"  # which way of the links between those instances and those servers
+    others: tuple[int, ...] = ()
+    link: str = "both"  # which way of the links between those instances and those servers, or others
     seconds: float = 0.0
     jitter: float = 0.0
     bytes_per_s: float = 0.0
+    loss: float = 0.0  # share of datagrams, as the next two
+    repeats: float = 0.0
+    reordered: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -68,6 +76,9 @@
     deadline_s: float = 3.0
     answer_s: float = 0.02
     slots: int = 64  # requests that a server takes at once
+    fellows: bool = False  # instances talk to one another
+    judgements: bool = True  # and tell what they see of servers
+    liars: int = 0  # of the instances, the last ones: they call all servers bad
     plain_loop: bool = False  # instances run on a loop that doesn't notice when the process stood still
     events: tuple[Event, ...] = field(default=())
 
@@ -106,9 +117,9 @@
         members(raw.get("instances", "all"), f"{where}.instances", instances)
         if INSTANCES in KEYS[do] else (),
         members(raw.get("servers", "all"), f"{where}.servers", servers) if SERVERS in KEYS[do] else (),
-        link, number(raw.get("seconds", 0.0), f"{where}.seconds"),
-        number(raw.get("jitter", 0.0), f"{where}.jitter"),
-        number(raw.get("bytes_per_s", 0.0), f"{where}.bytes_per_s"))
+        members(raw.get("others", "all"), f"{where}.others", instances) if OTHERS in KEYS[do] else (),
+        link, *(number(raw.get(key, 0.0), f"{where}.{key}")
+                for key in ("seconds", "jitter", "bytes_per_s", "loss", "repeats", "reordered")))
 
 
 def checked(raw: dict[str, Any]) -> Schedule:
--- a/standins/cluster/servers.py
+++ b/standins/cluster/servers.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from plovertrail.sources.lists import sealed
-from standins.web import NOT_RUN, OK, Arrival, Line, WebServer
+from standins.web import ERROR, NOT_RUN, OK, Arrival, Line, WebServer
 
 QUEUE = 16
 
@@ -31,6 +31,7 @@
     answer_s: float = 0.02
     slots: int = 64  # worked on at once; as many more as QUEUE wait, the rest is turned away
     silent: bool = False
+    failing: bool = False
     runs: list[Run] = field(default_factory=list)
     told_drain: float = float("inf")
     open: int = 0
@@ -51,7 +52,7 @@
         try:
             async with self.room:
                 await asyncio.sleep(self.answer_s)
-            return b"" if self.silent else OK
+            return b"" if self.silent else ERROR if self.failing else OK
         finally:
             self.open -= 1
 
--- /dev/null
+++ b/standins/fellows_model.py
@@ -0,0 +1,158 @@
+"""Instances that know one another over a network of this file's own, on a virtual clock: loss, delay,
+repeats, cuts one way or both, stops, restarts and liars, all drawn from a seed."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+
+from plovertrail.decisions.fellows import Address, Fellows, State, Word
+from plovertrail.decisions.judgements import Judgements
+from plovertrail.peers.fellows_wire import FellowsCodec
+from plovertrail.peers.fellowship import Fellowship, teller
+
+SECOND_US = 1_000_000
+KEY = b"a key that all instances share"
+DAY_US = 86_400 * SECOND_US
+
+
+class FellowsModel:
+    """`size` instances, numbered from 0, whose clocks began at times of their own; if `known`, all know one
+    another at first, else one seed, number 0."""
+
+    def __init__(self, size: int, *, seed: int = 1, period_s: float = 1.0, loss: float = 0.0,
+                 delay_s: float = 0.02, repeats: float = 0.0, known: bool = True, judge: bool = True,
+                 zones: int = 1, all_seeds: bool = False) -> None:
+        self.size = size
+        self.rng = random.Random(seed)
+        self.period_us = int(period_s * SECOND_US)
+        self.loss = loss
+        self.delay_s = delay_s
+        self.repeats = repeats
+        self.judge = judge
+        self.all_seeds = all_seeds  # each lists all, as an operator's file does
+        self.zones = zones
+        self.now_us = 0
+        self.due: list[tuple[int, int, Callable[..., None], tuple[object, ...]]] = []
+        self.order = 0
+        self.delivers: Callable[[int, int], bool] = lambda sender, receiver: True
+        self.addresses: list[Address] = [
+            (f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}", 7400) for n in range(size)]
+        self.numbers = {address: number for number, address in enumerate(self.addresses)}
+        self.skews_us = [self.rng.randrange(1, 10 ** 12) for _ in range(size)]
+        self.wall_us = 50 * 365 * DAY_US
+        self.alive = [True] * size
+        self.asleep: dict[int, int] = {}  # since when
+        self.inbox: dict[int, list[tuple[bytes, Address]]] = {}  # of those asleep
+        self.datagrams: Counter[int] = Counter()
+        self.octets: Counter[int] = Counter()
+        self.codec = FellowsCodec("model", [KEY])
+        self.ships = [self.start(number) for number in range(size)]
+        if known:
+            words = [ship.fellows.me for ship in self.ships]
+            for ship in self.ships:
+                ship.fellows.take(words, "", self.local_us(self.numbers[ship.fellows.me.address]))
+                ship.fellows.words.clear()
+        for number in range(size):
+            self.tick(number, self.ships[number])
+
+    def local_us(self, number: int) -> int:
+        """An instance's own clock: monotonic, and far from all others."""
+        return self.now_us + self.skews_us[number]
+
+    def start(self, number: int, wall_off_us: int = 0) -> Fellowship:
+        """An instance that knows nobody; its wall clock may be off."""
+        wall_us = self.wall_us + self.now_us + wall_off_us
+        me = Word(f"i{number}", self.addresses[number], wall_us, State.ALIVE, f"z{number % self.zones}")
+        now_us = self.local_us(number)
+        seeds = self.addresses if self.all_seeds else self.addresses[:1]
+        fellows = Fellows(me, self.period_us, random.Random(self.rng.random()), now_us, seeds)
+        judgements = Judgements(teller(me.name), now_us, wall_us) if self.judge else None
+        return Fellowship(fellows, judgements, self.codec, frozenset({me.address}), self.period_us // 5, 3,
+                          now_us)
+
+    def restart(self, number: int, wall_off_us: int = 0) -> None:
+        """It forgets all, and its clock begins elsewhere; what it sent is still on its way."""
+        self.alive[number] = True
+        self.skews_us[number] = self.rng.randrange(1, 10 ** 12)
+        self.ships[number] = self.start(number, wall_off_us)
+        self.tick(number, self.ships[number])
+
+    def kill(self, number: int) -> None:
+        self.alive[number] = False
+
+    def sleep(self, number: int) -> None:
+        """Its process is stopped,"""
+        self.asleep[number] = self.now_us
+        self.inbox[number] = []
+
+    def wake(self, number: int) -> None:
+        """and woken: it notices, and then reads what lies there."""
+        ship, slept_us = self.ships[number], self.now_us - self.asleep.pop(number)
+        ship.stood_still(slept_us, self.local_us(number))
+        for data, sender in self.inbox.pop(number)[-256:]:
+            self.deliver(number, data, sender)
+        self.tick(number, ship)
+
+    def leave(self, number: int) -> None:
+        """It stops as on SIGTERM."""
+        self.send(number, self.ships[number].leave(self.local_us(number)))
+        self.alive[number] = False
+
+    def at(self, at_us: int, what: Callable[..., None], *arguments: object) -> None:
+        self.order += 1
+        heapq.heappush(self.due, (at_us, self.order, what, arguments))
+
+    def tick(self, number: int, ship: Fellowship) -> None:
+        if self.ships[number] is not ship or not self.alive[number] or number in self.asleep:
+            return
+        self.send(number, ship.tick(self.local_us(number)))
+        wait_us = max(1_000, ship.due_us() - self.local_us(number))
+        self.at(self.now_us + wait_us, self.tick, number, ship)
+
+    def send(self, number: int, out: list[tuple[Address, bytes]]) -> None:
+        for address, data in out:
+            to = self.numbers.get(address)
+            self.datagrams[number] += 1
+            self.octets[number] += len(data)
+            for _ in range(1 + (self.rng.random() < self.repeats)):
+                if to is not None and self.delivers(number, to) and self.rng.random() >= self.loss:
+                    delay_us = int(self.rng.random() * self.delay_s * SECOND_US)
+                    self.at(self.now_us + delay_us, self.deliver, to, data, self.addresses[number])
+
+    def deliver(self, to: int, data: bytes, sender: Address) -> None:
+        if to in self.asleep:
+            self.inbox[to].append((data, sender))
+        elif self.alive[to]:
+            _, out = self.ships[to].received(data, sender, self.local_us(to))
+            self.send(to, out)
+
+    def run(self, seconds: float, look: Callable[[], None] | None = None, every_s: float = 0.1) -> None:
+        """So much longer; `look` is called now and then."""
+        ends_us = self.now_us + int(seconds * SECOND_US)
+        next_us = self.now_us
+        while self.now_us < ends_us:
+            until_us = min(ends_us, next_us + int(every_s * SECOND_US)) if look else ends_us
+            while self.due and self.due[0][0] <= until_us:
+                self.now_us, _, what, arguments = heapq.heappop(self.due)
+                what(*arguments)
+            self.now_us = next_us = until_us
+            if look is not None:
+                look()
+
+    def state(self, at: int, of: int) -> State | None:
+        """What one thinks of another; None: it isn't known there."""
+        fellow = self.ships[at].fellows.table.get(f"i{of}")
+        return fellow.word.state if fellow is not None else None
+
+    def states(self, of: int) -> Counter[State | None]:
+        """What all others that live and are awake think of one."""
+        return Counter(self.state(at, of) for at in range(self.size)
+                       if at != of and self.alive[at] and at not in self.asleep)
+
+    def judgements(self, number: int) -> Judgements:
+        found = self.ships[number].judgements
+        assert found is not None
+        return found
--- a/tests/cluster/test_rig.py
+++ b/tests/cluster/test_rig.py
@@ -10,7 +10,7 @@
 
 from standins.cluster.judge import judge
 from standins.cluster.load import Sent
-from standins.cluster.relay import TcpRelay, UdpRelay, Way
+from standins.cluster.relay import Switch, TcpRelay, Way
 from standins.cluster.schedule import BadSchedule, checked
 from standins.cluster.servers import Run, Shop
 from standins.web import WebServer
@@ -27,6 +27,17 @@
         self.killed: list[list[float]] = []
 
 
+class Sink:
+    """Where datagrams leave."""
+
+    def __init__(self, got: list[int]) -> None:
+        self.got = got
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        assert address == ("127.0.0.1", 2)
+        self.got.append(int(data))
+
+
 def sent(ident: str, instance: int = 0, status: int = 200, answers: int = 1, answered: float = 10.5) -> Sent:
     """A purchase of a client that waits for a second."""
     return Sent(ident, True, instance, 10.0, 1.0, status, answers, answered)
@@ -130,10 +141,13 @@
 def test_datagrams_get_lost_come_twice_and_out_of_order_by_the_seed() -> None:
     async def through(seed: int, way: Way, count: int) -> list[int]:
         got: list[int] = []
-        relay = UdpRelay(("127.0.0.1", 9), random.Random(seed), way)
-        relay.out = lambda data, target: got.append(int(data))
+        here, there = ("127.0.0.1", 1), ("127.0.0.1", 2)
+        relay = Switch([here, there], random.Random(seed))
+        relay.ways[0, 1] = way
+        relay.transports = [Sink(got), Sink(got)]  # type: ignore[list-item]
         for number in range(count):
-            relay.datagram_received(str(number).encode(), ("127.0.0.1", 1))
+            relay.came(str(number).encode(), here, 1)
+        relay.came(b"99", ("127.0.0.1", 3), 1)  # of a stranger
         async with asyncio.timeout(PATIENCE_S):
             while relay.held:
                 await asyncio.sleep(0.005)
--- a/tests/decisions/test_list.py
+++ b/tests/decisions/test_list.py
@@ -89,8 +89,8 @@
         balancer = Balancer(settings(list_on_request=True, ask_within_us=60_000_000, instances=5_000,
                                      list_calls_per_s=500.0), seed, START_US)
         balancer.handle(START_US, UpstreamsUpdated(ListKind.FULL, [], 1))
-        actions = balancer.handle(START_US + 1, UpstreamsUpdated(ListKind.FAILED, silent=True))
-        calls[(min(each.at_us for each in actions if isinstance(each, SetTimer)) - START_US) // 1_000_000] += 1
+        balancer.handle(START_US + 1, UpstreamsUpdated(ListKind.FAILED, silent=True))
+        calls[(balancer.ask_list_us - START_US) // 1_000_000] += 1
     assert max(calls.values()) <= 500
 
 
