top shows the phase, other instances, and what is told of servers

The recovery's phase with what is missing, how many other instances are in which state and whether this one doubts itself, and a line for each server and class that somebody finds wrong: by how much less it is drawn, who says so, and what was seen here and elsewhere.

--- a/plovertrail/cli/top.py
+++ b/plovertrail/cli/top.py
@@ -1,15 +1,18 @@
-"""`plovertrail top`: the tenants of pools that share their slots, live in a terminal."""
+"""`plovertrail top`: live in a terminal, the phase, tenants, other instances, and what is told of servers."""
 
 from __future__ import annotations
 
 import sys
 import time
+from collections import Counter
 from typing import Any
 
 import click
 
-from plovertrail.cli.control import SOCKET, ask
+from plovertrail.cli.control import SOCKET, ask, tell_phase
 
+JUDGED = ("pool", "server", "class", "drawn less by", "found wrong by", "here", "went wrong", "elsewhere",
+          "went wrong")
 SHARED = ("counted over the fleet", "here", "in all")
 Figures = dict[str, dict[str, dict[str, Any]]]  # of each tenant, by pool
 COLUMNS = ("pool", "tenant", "weight", "share", "admitted/s", "refused/s", "waiting", "at work", "work ms",
@@ -17,10 +20,10 @@
 
 
 def look(path: str) -> tuple[Figures, dict[str, Any]]:
-    """What the daemon tells now: of its tenants, and of what all instances have counted together."""
+    """What the daemon tells now: of its tenants, and all."""
     status = ask(path, do="status")["status"]
     doors = {name: pool["fair"] for name, pool in status["pools"].items() if pool.get("fair")}
-    return doors, status.get("peers") or {}
+    return doors, status
 
 
 def rows(before: Figures, now: Figures, seconds: float) -> list[list[str]]:
@@ -52,24 +55,59 @@
     return [[name, f"{each['own']:.0f}", f"{each['fleet']:.0f}"] for name, each in counts if each["fleet"]]
 
 
-def drawn(lines: list[list[str]], peers: dict[str, Any] | None = None) -> Any:
-    """The tables, for a terminal."""
+def judged_rows(judgements: dict[str, Any]) -> list[list[str]]:
+    """A line for each server and class that somebody finds wrong, the one held back most first."""
+    found = [(float(each["held_back"]), [
+        pool, server, kind, f"{each['held_back']:.2f}", str(each["found_wrong_by"]),
+        f"{each['own']['attempts']:.1f}",
+        f"{sum(each['own'][how] for how in ('faults', 'silent', 'full')):.1f}",
+        f"{each['heard']['attempts']:.1f}", f"{each['heard']['wrong']:.1f}"])
+        for pool, servers in judgements.items() for server, kinds in servers.items()
+        for kind, each in kinds.items()]
+    return [line for _, line in sorted(found, key=lambda pair: (-pair[0], pair[1]))]
+
+
+def told_of(status: dict[str, Any]) -> list[str]:
+    """The lines above the tables: the phase and what is missing, and who else is there."""
+    lines = []
+    if recovery := status.get("recovery"):
+        lines.append(f"phase: {tell_phase(recovery)}")
+        lines += [f"  ! {name}: {why}" for name, why in recovery["missing"].items()]
+    if fellows := status.get("fellows"):
+        states = Counter(each["state"] for each in fellows["fellows"].values())
+        told = ", ".join(f"{count} {state}" for state, count in sorted(states.items())) or "none known"
+        doubt = f"; it doubts itself ({fellows['doubt']} of 8)" if fellows["doubt"] else ""
+        lines.append(f"other instances: {told}{doubt}" + ("; it hears nobody" if fellows["alone"] else ""))
+    return lines
+
+
+def drawn(lines: list[list[str]], status: dict[str, Any]) -> Any:
+    """All of it, for a terminal."""
     from rich.console import Group
     from rich.table import Table
-
-    table = Table(*COLUMNS)
-    for number in range(2, len(COLUMNS)):
-        table.columns[number].justify = "right"
-    for line in lines:
-        table.add_row(*line)
-    if not peers:
-        return table
-    bound = peers["bound"]
-    counted = Table(*SHARED, title=f"{peers['heard']} of {peers['size'] - 1} peers heard; at most "
-                    f"{bound['under']:.1%} too low, {bound['over']:.1%} too high")
-    for line in shared_rows(peers):
-        counted.add_row(*line)
-    return Group(table, counted)
+    from rich.text import Text
+
+    parts: list[Any] = [Text(line) for line in told_of(status)]
+    if lines:
+        table = Table(*COLUMNS)
+        for number in range(2, len(COLUMNS)):
+            table.columns[number].justify = "right"
+        for line in lines:
+            table.add_row(*line)
+        parts.append(table)
+    if peers := status.get("peers"):
+        bound = peers["bound"]
+        counted = Table(*SHARED, title=f"{peers['heard']} of {peers['size'] - 1} peers heard; at most "
+                        f"{bound['under']:.1%} too low, {bound['over']:.1%} too high")
+        for line in shared_rows(peers):
+            counted.add_row(*line)
+        parts.append(counted)
+    if judged := judged_rows(status.get("judgements") or {}):
+        opinions = Table(*JUDGED, title="servers that somebody finds wrong")
+        for line in judged:
+            opinions.add_row(*line)
+        parts.append(opinions)
+    return Group(*parts)
 
 
 @click.command()
@@ -77,24 +115,25 @@
 @click.option("--every", default=1.0, show_default=True, help="Seconds between two looks.")
 @click.option("--times", default=0, help="So many looks, then end; 0: until interrupted.")
 def top(path: str, every: float, times: int) -> None:
-    """Show the tenants of each pool with `fair`: their share of its work, rates, waits and refusals."""
+    """Show the phase, the tenants of each pool with `fair` (their share of its work, rates, waits, refusals),
+    what is counted together, who else is there, and what is thought of servers."""
     try:
         from rich.console import Console
         from rich.live import Live
     except ImportError as error:
         click.echo(f"it can't be drawn here: {error}; install plovertrail[top]", err=True)
         sys.exit(2)
-    (before, peers), at = look(path), time.monotonic()
-    if not before and not peers:
+    (before, status), at = look(path), time.monotonic()
+    if not before and not any(status.get(key) for key in ("peers", "fellows", "recovery")):
         click.echo("no pool shares its slots; write fair = {} in [pools.NAME]")
         return
     looks = 0
-    with Live(drawn(rows({}, before, 1.0), peers), console=Console(), auto_refresh=False) as live:
+    with Live(drawn(rows({}, before, 1.0), status), console=Console(), auto_refresh=False) as live:
         try:
             while not times or looks < times:
                 time.sleep(every)
-                (now, peers), then = look(path), time.monotonic()
-                live.update(drawn(rows(before, now, then - at), peers), refresh=True)
+                (now, status), then = look(path), time.monotonic()
+                live.update(drawn(rows(before, now, then - at), status), refresh=True)
                 before, at, looks = now, then, looks + 1
         except KeyboardInterrupt:
             return
--- a/tests/cli/test_top.py
+++ b/tests/cli/test_top.py
@@ -13,7 +13,7 @@
 from click.testing import CliRunner
 
 from plovertrail.cli import main
-from plovertrail.cli.top import rows, shared_rows
+from plovertrail.cli.top import judged_rows, rows, shared_rows
 
 
 def tenant(admitted: int, work_s: float, waiting: int = 0, refused: int = 0) -> dict[str, Any]:
@@ -44,7 +44,8 @@
             caller, _ = listener.accept()
             with caller, caller.makefile("rwb") as file:
                 file.readline()
-                file.write(json.dumps({"ok": True, "status": {"pools": answer}}).encode() + b"\n")
+                status = answer if "pools" in answer else {"pools": answer}
+                file.write(json.dumps({"ok": True, "status": status}).encode() + b"\n")
 
     thread = threading.Thread(target=serve, daemon=True)
     thread.start()
@@ -80,3 +81,28 @@
                         "tenant c": {"own": 0.0, "fleet": 0.0}}}
     assert shared_rows(peers) == [["tenant b", "8", "20"], ["tenant a", "1", "9"]]
     assert shared_rows({}) == []
+
+
+def test_the_phase_other_instances_and_what_is_told_of_servers_are_shown(tmp_path: Path) -> None:
+    own = {"attempts": 2.0, "faults": 1.0, "silent": 0.5, "full": 0.0}
+
+    def opinion(held_back: float) -> dict[str, Any]:
+        heard = {"attempts": 9.0, "wrong": 8.0}
+        return {"held_back": held_back, "found_wrong_by": 3, "own": own, "heard": heard}
+
+    status = {
+        "pools": {}, "judgements": {"main": {"s1": {"buy": opinion(0.2)}, "s2": {"buy": opinion(0.6)}}},
+        "recovery": {"phase": "serving in part", "since_s": 3.0, "why": "a source gives no list",
+                     "missing": {"main: file:x": "No such file"}, "to_full_s": 0.4, "gaps": 2,
+                     "longest_gap_s": 5.0},
+        "fellows": {"doubt": 5, "alone": False, "fellows": {"a": {"state": "alive"}, "b": {"state": "silent"},
+                                                            "c": {"state": "alive"}}}}
+    assert [line[1] for line in judged_rows(status["judgements"])] == ["s2", "s1"]  # type: ignore[arg-type]
+    with daemon(tmp_path / "control", [status] * 2):
+        result = CliRunner().invoke(
+            main, ["top", "--socket", str(tmp_path / "control"), "--every", "0.01", "--times", "1"],
+            env={"COLUMNS": "160"})
+    assert result.exit_code == 0, result.output
+    for told in ("phase: serving in part for 3.0 s", "main: file:x: No such file", "2 alive, 1 silent",
+                 "it doubts itself (5 of 8)", "0.60"):
+        assert told in result.output, told
