--- a/benchmarks/fellows.py
+++ b/benchmarks/fellows.py
@@ -17,9 +17,9 @@
 
 from benchmarks.report import Bar, close, table
 from plovertrail.decisions.fellows import Kind, State, Word, false_suspicion, longest_detection_us
+from plovertrail.peers.envelope import short
 from plovertrail.peers.fellows_wire import Datagram
 from plovertrail.peers.gossip import told
-from plovertrail.peers.wire import short
 from standins.fellows_model import FellowsModel
 
 S = 1_000_000
--- a/plovertrail/peers/fellow_talk.py
+++ b/plovertrail/peers/fellow_talk.py
@@ -21,10 +21,10 @@
     longest_detection_us,
 )
 from plovertrail.decisions.judgements import Judgements
+from plovertrail.peers.envelope import Dropped
 from plovertrail.peers.fellows_wire import LONGEST_ZONE, FellowsCodec
 from plovertrail.peers.fellowship import Fellowship, teller
 from plovertrail.peers.gossip import told
-from plovertrail.peers.wire import Dropped
 
 log = logging.getLogger(__name__)
 SendTo = Callable[[bytes, Address], None]
--- a/plovertrail/peers/fellows_wire.py
+++ b/plovertrail/peers/fellows_wire.py
@@ -1,8 +1,7 @@
-"""Datagrams between fellows: version 2 beside the counts' version 1, on one socket and under the same keys.
+"""Datagrams between fellows, version 2 of what an envelope (peers/envelope.py) holds, on the counts' socket:
 
-    2 bytes "pt", 1 version, 8 the fleet, 4 which key signs, 8 the receiver's address, 1 kind, 1 whether the
-    sender doubts itself, 8 number, the sender's word, the subject's name and address, 1 how many words, the
-    words, 1 how many rows of evidence, the rows; 16 bytes of HMAC-SHA256 over all before it.
+    1 kind, 1 whether the sender doubts itself, 8 number, the sender's word, the subject's name and address, 1
+    how many words, the words, 1 how many rows of evidence, the rows.
 
 A word: 1 length and a name, 4 and 2 an IPv4 address and a port, 8 incarnation, 1 state, 1 length and a zone.
 A row: 8 teller, 8 sequence, 8 server, 4 class, 2 each attempts, faults, silent and full in sixteenths, 2 its
@@ -12,7 +11,6 @@
 
 from __future__ import annotations
 
-import hmac
 import socket
 import struct
 from collections.abc import Sequence
@@ -21,10 +19,10 @@
 from plovertrail.config.peers import LONGEST_NAME
 from plovertrail.decisions.fellows import Address, Kind, State, Word
 from plovertrail.decisions.judgements import Evidence
-from plovertrail.peers.wire import LARGEST, MAC, BadDatagramError, Dropped, key_id, short
+from plovertrail.peers.envelope import ROOM, BadDatagramError, Dropped, Seal
 
 VERSION = 2
-HEAD = struct.Struct(">2sB8s4s8sBBQ")
+HEAD = struct.Struct(">BBQ")
 PLACE = struct.Struct(">4sH")
 RANK = struct.Struct(">QB")
 ROW = struct.Struct(">QQQIHHHHHH")
@@ -111,58 +109,44 @@
 
 
 class FellowsCodec:
-    """Writes and reads the datagrams of one fleet; keys as the counts' codec has them."""
+    """Writes and reads what the fellows of one fleet say."""
 
     def __init__(self, fleet: str, keys: Sequence[bytes]) -> None:
-        self.fleet = short(fleet)
-        self.keys = {key_id(key): key for key in keys}
-        self.signs = key_id(keys[0])
+        self.seal = Seal(fleet, keys)
 
     def write(self, to: bytes, datagram: Datagram) -> bytes:
         """Its bytes, of what fits: words before evidence, each in its order. The sender's name, its zone and
         the subject's name always do."""
-        head = HEAD.pack(b"pt", VERSION, self.fleet, self.signs, to, datagram.kind, datagram.unwell,
-                         datagram.number)
-        fixed = b"".join([head, word_bytes(datagram.sender), text_bytes(datagram.subject, LONGEST_NAME),
+        fixed = b"".join([HEAD.pack(datagram.kind, datagram.unwell, datagram.number),
+                          word_bytes(datagram.sender), text_bytes(datagram.subject, LONGEST_NAME),
                           PLACE.pack(socket.inet_aton(datagram.subject_address[0]),
                                      datagram.subject_address[1])])
-        left = LARGEST - MAC - len(fixed) - 2
+        left = ROOM - len(fixed) - 2
         words = fitting([word_bytes(word) for word in datagram.words[:MOST_WORDS]], left)
         left -= sum(map(len, words))
         rows = [row_bytes(row) for row in datagram.rows[:left // ROW.size]]
         body = b"".join([fixed, bytes([len(words)]), *words, bytes([len(rows)]), *rows])
-        return body + hmac.digest(self.keys[self.signs], body, "sha256")[:MAC]
+        return self.seal.sealed(VERSION, to, body)
 
     def room(self, datagram: Datagram) -> int:
         """How many rows of evidence surely fit beside its words."""
         taken = sum(len(word_bytes(word)) for word in (datagram.sender, *datagram.words[:MOST_WORDS]))
-        left = LARGEST - MAC - HEAD.size - taken - len(datagram.subject.encode()) - 3 - PLACE.size
+        left = ROOM - HEAD.size - taken - len(datagram.subject.encode()) - 3 - PLACE.size
         return max(0, left // ROW.size)
 
     def read(self, data: bytes, mine: frozenset[bytes]) -> Datagram:
-        """A datagram to one of our addresses; raises BadDatagramError. Nothing of it is used before its code
-        has been checked, in constant time."""
-        if len(data) < HEAD.size + MAC or len(data) > LARGEST or data[:2] != b"pt":
+        """A datagram to one of our addresses; raises BadDatagramError."""
+        body = self.seal.opened(VERSION, data, mine)
+        if len(body) < HEAD.size:
             raise BadDatagramError(Dropped.GARBAGE)
-        _, version, fleet, signed_by, to, kind, unwell, number = HEAD.unpack_from(data)
-        if version != VERSION:
-            raise BadDatagramError(Dropped.VERSION)
-        if fleet != self.fleet:
-            raise BadDatagramError(Dropped.FLEET)
-        key = self.keys.get(signed_by)
-        if key is None:
-            raise BadDatagramError(Dropped.KEY)
-        if not hmac.compare_digest(hmac.digest(key, data[:-MAC], "sha256")[:MAC], data[-MAC:]):
-            raise BadDatagramError(Dropped.FORGED)
-        if to not in mine:
-            raise BadDatagramError(Dropped.NOT_FOR_US)
+        kind, unwell, number = HEAD.unpack_from(body)
         if not Kind.PROBE <= kind <= Kind.TELL:
             raise BadDatagramError(Dropped.GARBAGE)
-        reader = Reader(data[:-MAC], HEAD.size)
+        reader = Reader(body, HEAD.size)
         sender, subject, subject_address = reader.word(), reader.text(LONGEST_NAME), reader.address()
         words = tuple(reader.word() for _ in range(reader.take(1)[0]))
         rows = tuple(reader.row() for _ in range(reader.take(1)[0]))
-        if reader.at != len(data) - MAC:
+        if reader.at != len(body):
             raise BadDatagramError(Dropped.GARBAGE)
         return Datagram(Kind(kind), number, sender, bool(unwell), subject, subject_address, words, rows)
 
--- a/plovertrail/peers/fellowship.py
+++ b/plovertrail/peers/fellowship.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from dataclasses import dataclass, field
-
 from plovertrail.decisions.counts import key_of
 from plovertrail.decisions.fellows import Address, Fellows, Kind, Out
 from plovertrail.decisions.judgements import Evidence, Judgements
+from plovertrail.peers.envelope import BadDatagramError, Dropped, Sent, short
 from plovertrail.peers.fellows_wire import MOST_WORDS, Datagram, FellowsCodec
 from plovertrail.peers.gossip import told
-from plovertrail.peers.wire import BadDatagramError, Dropped, short
 
 MOST_A_PERIOD = 1_024  # datagrams that are looked at in one, from all together
 HURRY_GAP_US = 20_000  # news of a server that goes wrong goes out so soon after what went out before it,
@@ -23,16 +20,6 @@
     return key_of("fellow", name)
 
 
-@dataclass(slots=True)
-class Sent:
-    """What this instance has sent and got since its start."""
-
-    datagrams: int = 0
-    octets: int = 0
-    taken: int = 0
-    dropped: Counter[Dropped] = field(default_factory=Counter)
-
-
 class Fellowship:
     """`addresses`: by which others reach us; `gossip_us`: how often news goes to `fan_out` others at random.
     Its load is bounded by these and the period, whatever the size of the fleet."""
--- a/plovertrail/peers/gossip.py
+++ b/plovertrail/peers/gossip.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from plovertrail.decisions.counts import Counts
 from plovertrail.decisions.counts_bound import Bound, Talk, bound
-from plovertrail.peers.wire import BadDatagramError, Codec, Dropped, row_bytes, short
+from plovertrail.peers.envelope import BadDatagramError, Dropped, Sent, short
+from plovertrail.peers.wire import Codec, row_bytes
 
 Address = tuple[str, int]
 MOST_A_PERIOD = 8  # datagrams of one peer that are looked at; it sends one at most by itself
@@ -35,16 +35,6 @@
     looked_at: int = 0
 
 
-@dataclass(slots=True)
-class Sent:
-    """What this instance has sent and got since its start."""
-
-    datagrams: int = 0
-    octets: int = 0
-    taken: int = 0
-    dropped: Counter[Dropped] = field(default_factory=Counter)
-
-
 class Gossip:
     """Each period it sends its own part to the next `fan_out` peers, in a fixed order drawn once, so that
     each of them hears of it once a round. Weighed in docs/shared-counts.md."""
--- a/plovertrail/peers/talk.py
+++ b/plovertrail/peers/talk.py
@@ -14,8 +14,9 @@
 from plovertrail.config.peers import MOST_PEERS, PeersSetup
 from plovertrail.decisions.counts import Counts
 from plovertrail.decisions.membership import Entry
+from plovertrail.peers.envelope import LARGEST, Dropped
 from plovertrail.peers.gossip import Address, Gossip, told
-from plovertrail.peers.wire import LARGEST, Codec, Dropped
+from plovertrail.peers.wire import Codec
 from plovertrail.sources.instances import InstanceList
 
 if TYPE_CHECKING:
--- a/tests/peers/test_gossip.py
+++ b/tests/peers/test_gossip.py
@@ -7,8 +7,9 @@
 
 from plovertrail.decisions.counts import Counts, Window, key_of
 from plovertrail.decisions.counts_bound import Talk, bound
+from plovertrail.peers.envelope import LARGEST, Dropped
 from plovertrail.peers.gossip import MOST_A_PERIOD, Gossip
-from plovertrail.peers.wire import LARGEST, Codec, Dropped, row_bytes
+from plovertrail.peers.wire import Codec, row_bytes
 from standins.peers_model import KEY, SECOND_US, PeersModel
 
 WINDOW = Window(10 * SECOND_US, 20)
--- a/tests/peers/test_wire.py
+++ b/tests/peers/test_wire.py
@@ -10,7 +10,8 @@
 from hypothesis import strategies as st
 
 from plovertrail.decisions.counts import Window, key_of
-from plovertrail.peers.wire import HEAD, LARGEST, MAC, BadDatagramError, Codec, Dropped, row_bytes, short
+from plovertrail.peers.envelope import LARGEST, PREFIX, BadDatagramError, Dropped, short
+from plovertrail.peers.wire import HEAD, Codec, row_bytes
 
 WINDOW = Window(10_000_000, 20)
 KEY, OTHER = b"k" * 32, b"o" * 32
@@ -47,7 +48,8 @@
 
 def test_what_is_not_ours_is_told_apart() -> None:
     good = written(codec())
-    assert why(b"") is why(good[:40]) is why(b"x" * 200) is why(good + b"x" * LARGEST) is Dropped.GARBAGE
+    for garbage in (b"", good[:PREFIX.size], b"x" * 200, good + b"x" * LARGEST):
+        assert why(garbage) is Dropped.GARBAGE
     assert why(good[:2] + b"\x09" + good[3:]) is Dropped.VERSION
     assert why(written(codec(fleet="stage"))) is Dropped.FLEET
     assert why(written(codec(OTHER))) is Dropped.KEY
@@ -76,19 +78,16 @@
 def test_signed_nonsense_is_garbage_and_raises_nothing_else() -> None:
     """Whoever has the key may still be broken."""
     rng, mine = random.Random(1), codec()
-    name = HEAD.pack(b"pt", 1, mine.fleet, mine.signs, ME, 1, 1, 1, WINDOW.bucket_us, 20, 1) + b"a"
+    name = HEAD.pack(1, 1, 1, WINDOW.bucket_us, 20, 1) + b"a"
     bodies = [struct.pack(">H", 3), struct.pack(">H", 60_000), struct.pack(">H", 1) + b"k" * 8 + b"\xff" * 12,
               struct.pack(">H", 1) + b"k" * 8 + b"\x00\x00", struct.pack(">H", 1) + b"k" * 8 + b"\x00\x7f",
               struct.pack(">H", 0) + b"more"]
     bodies += [rng.randbytes(rng.randrange(2, 300)) for _ in range(500)]
-    import hmac
-
     for body in bodies:
-        data = name + body
-        signed = data + hmac.digest(KEY, data, "sha256")[:MAC]
         try:
-            mine.read(signed, ME)
+            mine.read(mine.seal.sealed(1, ME, name + body), ME)
         except BadDatagramError as error:
             assert error.why is Dropped.GARBAGE
-    bad_name = HEAD.pack(b"pt", 1, mine.fleet, mine.signs, ME, 1, 1, 1, WINDOW.bucket_us, 20, 1) + b"\xff\0\0"
-    assert why(bad_name + hmac.digest(KEY, bad_name, "sha256")[:MAC]) is Dropped.GARBAGE
+    bad_name = HEAD.pack(1, 1, 1, WINDOW.bucket_us, 20, 1) + b"\xff\0\0"
+    assert why(mine.seal.sealed(1, ME, bad_name)) is Dropped.GARBAGE
+    assert why(mine.seal.sealed(1, ME, b"short")) is Dropped.GARBAGE
