--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -79,7 +79,10 @@
     assert len(files) > 10
     loaded = {Path(file).relative_to(ROOT).as_posix() for file in files}
     off = ("plovertrail/peers/", "plovertrail/decisions/counts", "plovertrail/hooks/", "plovertrail/nginx/",
-           "plovertrail/cli/", "plovertrail/rehearsal/", "plovertrail/config/operator")
+           "plovertrail/cli/", "plovertrail/rehearsal/", "plovertrail/config/operator", "plovertrail/store/",
+           "plovertrail/background", "plovertrail/hearsay", "plovertrail/decisions/background",
+           "plovertrail/decisions/fellows", "plovertrail/decisions/judgements",
+           "plovertrail/decisions/remembered", "plovertrail/decisions/recovery")
     assert not [file for file in loaded if file.startswith(off)]
 
 
