One that others find wrong is no longer drawn for being alone among those not in use

Seen: of 17 and 23 attempts at a failing server, 24 processes, half came after all knew of it (avoided after 0.25 to 0.5 s). A sidecar with little traffic draws from servers that it doesn't use before those it does; where the failing one was alone among these, twelve draws missed and the look at all of the group took it whatever was held against it. draw() of balance.py takes one that hearsay holds back only if no further group has another; without hearsay, as on the platform, nothing is different. Test: it fails without the change.

--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -535,6 +535,7 @@
         server = self.preferred(request, some_rest) if request.event.preferred else None
         if server is not None:
             return server
+        held: Server | None = None  # taken where there is no other
         for pool in self.pools:
             while pool.cold_waits and pool.cold_waits[0][0] <= pool.served:
                 self.weigh(self.servers.get(heapq.heappop(pool.cold_waits)[1]))
@@ -547,9 +548,14 @@
                 groups = pool.cold, pool.others, pool.in_use
             for group in groups:
                 server = self.pick(request, group, some_rest) if group.whole > 0.0 else None
-                if server is not None:
-                    return server
-        return None
+                if server is None:
+                    continue
+                # hazard: a group of one that others find wrong has it drawn whatever they say
+                if server.hearsay and held is None and request.event.class_index in server.hearsay:
+                    held = server
+                    continue
+                return server
+        return held
 
     def preferred(self, request: Request, some_rest: bool) -> Server | None:
         """A first attempt's own choice, if it could take it by chance as well. Hazard: one that fails must
--- a/tests/decisions/test_judgements.py
+++ b/tests/decisions/test_judgements.py
@@ -240,6 +240,22 @@
     assert sum(all_bad.values()) == 1_000
 
 
+def test_one_that_was_not_used_yet_and_is_held_back_waits_for_all_others() -> None:
+    """With little traffic servers that are not in use are drawn first, and it may be the only one of them."""
+    sent = []
+    for seed in range(40):
+        balancer = Balancer(module_settings(second_copies=False), seed, START_US)
+        balancer.handle(START_US, UpstreamsUpdated(ListKind.FULL, upstreams(4)))
+        for server in list(balancer.servers.values())[1:]:
+            balancer.use(server, True)
+        balancer.handle(START_US, Hearsay({(100, 0): 0.4}))
+        for request in range(4):
+            found = balancer.handle(START_US, RequestArrived(request, START_US + S))
+            sent += [action.upstream for action in found if isinstance(action, Send)]
+    assert sent[3::4] == [100] * 40  # the fourth finds no other slot
+    assert sum(upstream == 100 for upstream in sent) <= 45
+
+
 def test_hearsay_is_whole_and_speaks_of_servers_that_are_there() -> None:
     balancer = Balancer(module_settings(), 1, START_US)
     balancer.handle(START_US, UpstreamsUpdated(ListKind.FULL, upstreams(8)))
