Read once more: attempts look at no other pool, opinions of gone servers end

Found by reading the whole change again, each in its place: - hearsay: each attempt built a view of all pools, each change of a list a digest of all its servers on the loop, and opinions of servers that have gone stayed for good. Rosters are followed as the recovery's keeper follows them, digests are kept, opinions are made anew. - store: a fault in one write that was not the disk's ended its task unseen, and all later writes with it; it is told and the next write is whole (test). - the rig: a lost or older disk is that of both files; what of a verdict is the program's stands once, as do the cases of the benchmarks that play outages. - fellows: one name for no address, one datagram built once. - a test held a judgement against one that is kept rounded, and failed by chance; it compares what is kept.

--- a/benchmarks/coming_back.py
+++ b/benchmarks/coming_back.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import sys
 import tempfile
@@ -19,7 +18,7 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.report import Bar, close, table
+from benchmarks.report import Bar, chosen, close, outage_parser, table
 from standins.cluster.judge import Verdict
 from standins.cluster.load import Sent
 from standins.cluster.play import Cluster, cluster
@@ -147,23 +146,17 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(prog="python -m benchmarks.coming_back")
-    parser.add_argument("--instances", type=int, default=24)
+    parser = outage_parser("coming_back")
     parser.add_argument("--seconds", type=float, default=8.0, help="after the processes are there again")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--case", type=int, help="one case only, by its place")
     asked = parser.parse_args()
-    found = cases(asked.instances)
-    if asked.case is not None:
-        found = found[asked.case:asked.case + 1]
     rows: list[list[object]] = []
     figures: dict[str, object] = {}
     bars: list[Bar] = []
     broken = 0
-    for case in found:
+    for case in chosen(cases(asked.instances), asked.case):
         with tempfile.TemporaryDirectory() as folder:
             each = asyncio.run(played(case, asked.instances, asked.seed, asked.seconds, Path(folder)))
-        rules = [line for line in each.verdict.broken if not line.startswith("late")]
+        rules = each.verdict.rules
         late = len(each.verdict.broken) - len(rules)
         counts = each.verdict.counts
         rows.append([case.name, each.before, each.back_s, each.worst_before, each.worst, counts["refused"],
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import argparse
 import json
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import TypeVar
+
+Case = TypeVar("Case")
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +24,20 @@
         return self.figure <= self.most
 
 
+def outage_parser(name: str) -> argparse.ArgumentParser:
+    """Of a benchmark that plays outages with processes, one case after the other."""
+    parser = argparse.ArgumentParser(prog=f"python -m benchmarks.{name}")
+    parser.add_argument("--instances", type=int, default=24)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--case", type=int, help="one case only, by its place")
+    return parser
+
+
+def chosen(cases: list[Case], place: int | None) -> list[Case]:
+    """All of them, or the one that was asked for."""
+    return cases if place is None else cases[place:place + 1]
+
+
 def table(head: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
     """Print columns, the first one to the left."""
     cells = [
--- a/benchmarks/shared_judgements.py
+++ b/benchmarks/shared_judgements.py
@@ -10,14 +10,13 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from benchmarks.report import Bar, close, table
+from benchmarks.report import Bar, chosen, close, outage_parser, table
 from standins.cluster.play import Cluster, cluster
 from standins.cluster.schedule import Schedule, checked
 
@@ -96,7 +95,7 @@
     return sum(one.status == 200 for one in sent) / max(1, len(sent))
 
 
-def figures_of(it: Cluster, case: Case, broken: list[str]) -> Told:
+def figures_of(it: Cluster, case: Case, rules: int) -> Told:
     step = WINDOW_S / 2
     times = [BAD_S + number * step for number in range(int((WELL_S - BAD_S) / step))]
     avoided = next((at - BAD_S for at in times if case.bad and share_at(it, case.bad, at) <= 0.1),
@@ -106,8 +105,7 @@
                 ENDS_S - WELL_S if case.bad else 0.0)
     failed = sum(it.begins + BAD_S <= run.at < it.begins + WELL_S
                  for number in case.bad for run in it.shops[number].runs)
-    rules = [line for line in broken if not line.startswith("late")]
-    return Told(failed, avoided, back, served(it, BAD_S, WELL_S), served(it, 1.0, ENDS_S), len(rules))
+    return Told(failed, avoided, back, served(it, BAD_S, WELL_S), served(it, 1.0, ENDS_S), rules)
 
 
 async def played(case: Case, way: str, instances: int, per_s: float, seed: int, folder: Path) -> Told:
@@ -119,24 +117,18 @@
                 break
             await asyncio.sleep(0.2)
         verdict = await it.play()
-        return figures_of(it, case, verdict.broken)
+        return figures_of(it, case, len(verdict.rules))
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(prog="python -m benchmarks.shared_judgements")
-    parser.add_argument("--instances", type=int, default=24)
+    parser = outage_parser("shared_judgements")
     parser.add_argument("--rate", type=float, default=240.0, help="requests a second of all together")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--case", type=int, help="one case only, by its place")
     asked = parser.parse_args()
-    found = cases(asked.instances)
-    if asked.case is not None:
-        found = found[asked.case:asked.case + 1]
     rows: list[list[object]] = []
     figures: dict[str, object] = {}
     bars: list[Bar] = []
     rules = 0
-    for case in found:
+    for case in chosen(cases(asked.instances), asked.case):
         by_way = {}
         for way in WAYS:
             with tempfile.TemporaryDirectory() as folder:
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -122,7 +122,7 @@
         self.memory = MemoryKeeper(self.keeper, self._pools, lambda: self.limiters,
                                    lambda: self.peers.counts)
         self.peers = PeerKeeper(seeds)
-        self.hearsay = HearsayKeeper(self.host, self._pools, self._judgements, self.peers.hurry)
+        self.hearsay = HearsayKeeper(self.host, self._rosters, self._judgements, self.peers.hurry)
         self.background = Runner(self.loop)
         self.fronts: dict[str, OrdinaryFront] = {}
         self.control = ControlSocket(self, setup.control_socket)
@@ -133,8 +133,7 @@
         self.limiters: dict[str, Limiter] = {}
         self.reloading = asyncio.Lock()
         self.recovery = RecoveryKeeper(
-            self.host, lambda: {name: pool.roster for name, pool in self.pools.items()}, self._reloaded,
-            self._stood_still)
+            self.host, self._rosters, self._reloaded, self._stood_still)
         self.current = Current(Generation(0, setup, {}, {}, {}))
         compiled = self.hooks.prepare(setup)
         self.apply(setup, read_lists(setup, frozenset()), compiled)
@@ -207,6 +206,9 @@
             pool.connections.stood_still(random.random())
         self.peers.stood_still(gap_us)
 
+    def _rosters(self) -> Mapping[str, Roster]:
+        return {name: pool.roster for name, pool in self.pools.items()}
+
     def _judgements(self) -> Judgements | None:
         return self.peers.judgements
 
--- a/plovertrail/decisions/fellows.py
+++ b/plovertrail/decisions/fellows.py
@@ -20,6 +20,7 @@
 from dataclasses import dataclass, field
 
 Address = tuple[str, int]
+NOWHERE: Address = ("0.0.0.0", 0)
 MOST_FELLOWS = 8_192  # in the table, whatever is told; the ones that are over go first
 INDIRECT = 3  # others that are asked to probe one that didn't answer
 SUSPICION = 4.0  # times log10 of the size (1 at least) periods, as in Lifeguard's section IV: the shortest
@@ -91,7 +92,7 @@
     number: int = 0  # of a probe, as its prober counts
     subject: str = ""  # ASK and NACK: whom
     to: str = ""  # the name there, if it is known
-    subject_address: Address = ("", 0)
+    subject_address: Address = NOWHERE
 
 
 @dataclass(slots=True)
@@ -325,7 +326,7 @@
         if kind in (Kind.PROBE, Kind.JOIN):
             return [Out(Kind.ACK, sender, number)]
         if kind is Kind.ASK:
-            if len(self.relayed) >= MOST_WORDS_HELD or not subject_address[0]:
+            if len(self.relayed) >= MOST_WORDS_HELD or subject_address == NOWHERE:
                 return []
             self.numbers += 1
             self.relayed[self.numbers] = Relayed(sender, number, subject, now_us + self._answer_us())
--- a/plovertrail/hearsay.py
+++ b/plovertrail/hearsay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Mapping
-from functools import partial
+from functools import lru_cache, partial
 from typing import Any
 
 from plovertrail.background import Runner
@@ -15,14 +15,16 @@
 from plovertrail.decisions.judgements import Judgements, Known, Opinion, Window, hearsay
 from plovertrail.decisions.membership import State
 from plovertrail.host import Host, ServerPool
+from plovertrail.roster import Roster
 
 # opinions follow evidence, which goes out five times a second as a rule
 OPINIONS = Work("opinions", Priority.PEERS, every_us=200_000, latest_us=1_000_000, share=0.02)
 FAULTS = frozenset((Outcome.ERROR, Outcome.RESET, Outcome.SPOILT, Outcome.CONNECT_FAILED))
 TELLING = FAULTS | {Outcome.OK, Outcome.FULL, Outcome.TIMEOUT}
-Pools = Callable[[], Mapping[str, tuple[ServerPool, State]]]
+Rosters = Callable[[], Mapping[str, Roster]]
 
 
+@lru_cache(maxsize=16_384)  # hazard: digests of 10,000 ids at each change of a list would hold the loop up
 def server_key(pool: str, ident: str) -> int:
     """A server as all instances know it: by its id, as they may reach it by other addresses."""
     return key_of("server", pool, ident)
@@ -36,26 +38,27 @@
 class HearsayKeeper:
     """While there are judgements it feeds them with attempts, and tells modules what comes of all."""
 
-    def __init__(self, host: Host, pools: Pools, judgements: Callable[[], Judgements | None],
+    def __init__(self, host: Host, rosters: Rosters, judgements: Callable[[], Judgements | None],
                  hurry: Callable[[Callable[[], None]], None]) -> None:
         self.host = host
-        self.pools = pools
+        self.rosters = rosters
         self.judgements = judgements
         self.hurry = hurry  # tells others at once what is news, and calls back with what is
         self.runner: Runner | None = None
-        self.known: dict[str, tuple[State, Known]] = {}  # by pool, of this state of its list
-        self.names: dict[ServerPool, str] = {}
+        self.known: dict[ServerPool, tuple[State, Known]] = {}  # of this state of its list
+        self.by_pool: dict[ServerPool, Roster] = {}
         self.told: dict[ServerPool, Mapping[tuple[int, int], float]] = {}
         self.opinions: dict[tuple[int, int], Opinion] = {}
 
     def follow(self, runner: Runner) -> None:
         """A setup has come into force."""
-        self.names = {pool: name for name, (pool, _) in self.pools().items()}
-        self.told = {pool: held for pool, held in self.told.items() if pool in self.names}
+        self.by_pool = {roster.pool: roster for roster in self.rosters().values() if roster.pool is not None}
+        self.told = {pool: held for pool, held in self.told.items() if pool in self.by_pool}
+        self.known = {pool: known for pool, known in self.known.items() if pool in self.by_pool}
         on = self.judgements() is not None
         self.runner = runner
         self.host.attempt_over = self.attempt_over if on else None
-        for pool in self.names:
+        for pool in self.by_pool:
             pool.balancer.silent = partial(self.silent, pool) if on else lambda server, class_index: None
         if on:
             runner.add(OPINIONS, self.run, OPINIONS.every_us)
@@ -73,20 +76,21 @@
         if self.runner is not None and OPINIONS.name in self.runner.begins:
             self.runner.hurry(OPINIONS.name)
 
-    def known_of(self, name: str, pool: ServerPool, state: State) -> Known:
+    def known_of(self, pool: ServerPool, roster: Roster) -> Known:
         """What a pool's servers are called; made anew when its list has changed."""
-        found = self.known.get(name)
+        found, state = self.known.get(pool), roster.state
         if found is None or found[0] is not state:
-            servers = {member.number: server_key(name, ident) for ident, member in state.members.items()}
+            servers = {member.number: server_key(roster.name, ident)
+                       for ident, member in state.members.items()}
             classes = tuple(class_key(kind.name) for kind in pool.settings.classes)
-            found = self.known[name] = state, Known(servers, classes)
+            found = self.known[pool] = state, Known(servers, classes)
         return found[1]
 
     def _key(self, pool: ServerPool, number: int, class_index: int) -> tuple[int, int] | None:
-        name = self.names.get(pool)
-        if name is None:
+        roster = self.by_pool.get(pool)
+        if roster is None:
             return None
-        known = self.known_of(name, *self.pools()[name])
+        known = self.known_of(pool, roster)
         server = known.servers.get(number)
         return (server, known.classes[class_index]) if server is not None else None
 
@@ -115,17 +119,17 @@
         judgements = self.judgements()
         if judgements is None:
             return
-        for name, (pool, state) in list(self.pools().items()):
-            known = self.known_of(name, pool, state)
-            opinions = judgements.opinions(set(known.numbers), clock_us())
-            mine = {key: opinion for key, opinion in opinions.items() if key[0] in known.numbers}
-            self.opinions = {key: opinion for key, opinion in self.opinions.items()
-                             if key[0] not in known.numbers} | mine
-            held = hearsay(mine, known)
+        found: dict[tuple[int, int], Opinion] = {}
+        for pool, roster in list(self.by_pool.items()):
+            known = self.known_of(pool, roster)
+            opinions = judgements.opinions(known.numbers.keys(), clock_us())
+            found |= opinions
+            held = hearsay(opinions, known)
             if held != self.told.get(pool, {}):
                 self.told[pool] = held
                 self.host.heard_of(pool, held)
             yield
+        self.opinions = found  # hazard: added to, it would keep all servers that ever were
 
     def status(self) -> dict[str, Any]:
         """By pool, server and class: own evidence, heard evidence, the opinion and why."""
@@ -133,9 +137,9 @@
         if judgements is None:
             return {}
         found: dict[str, Any] = {}
-        for name, (pool, state) in self.pools().items():
-            known = self.known_of(name, pool, state)
-            named = {common: ident for ident, member in state.members.items()
+        for pool, roster in self.by_pool.items():
+            known = self.known_of(pool, roster)
+            named = {common: ident for ident, member in roster.state.members.items()
                      if (common := known.servers.get(member.number)) is not None}
             kinds = {number: kind.name for number, kind in
                      zip(known.classes, pool.settings.classes, strict=True)}
@@ -144,7 +148,7 @@
                     opinion = self.opinions.get(key)
                     if opinion is None:
                         opinion = judgements.opinion(key, now_us, judgements.everywhere(key[1], now_us))
-                    found.setdefault(name, {}).setdefault(named[key[0]], {})[kinds[key[1]]] = told(
+                    found.setdefault(roster.name, {}).setdefault(named[key[0]], {})[kinds[key[1]]] = told(
                         judgements, key, opinion, now_us)
         return found
 
--- a/plovertrail/peers/fellows_wire.py
+++ b/plovertrail/peers/fellows_wire.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass
 
 from plovertrail.config.peers import LONGEST_NAME
-from plovertrail.decisions.fellows import Address, Kind, State, Word
+from plovertrail.decisions.fellows import NOWHERE, Address, Kind, State, Word
 from plovertrail.decisions.judgements import Evidence
 from plovertrail.peers.envelope import ROOM, BadDatagramError, Dropped, Seal
 
@@ -31,7 +31,6 @@
 AGE_US = 10_000
 LONGEST_ZONE = 32
 MOST_WORDS = 20
-NOWHERE: Address = ("0.0.0.0", 0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/plovertrail/peers/fellowship.py
+++ b/plovertrail/peers/fellowship.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from plovertrail.decisions.counts import key_of
 from plovertrail.decisions.fellows import Address, Fellows, Kind, Out
-from plovertrail.decisions.judgements import Evidence, Judgements
+from plovertrail.decisions.judgements import Judgements
 from plovertrail.peers.envelope import BadDatagramError, Dropped, Sent, short
-from plovertrail.peers.fellows_wire import MOST_WORDS, Datagram, FellowsCodec
+from plovertrail.peers.fellows_wire import Datagram, FellowsCodec
 from plovertrail.peers.gossip import told
 
 MOST_A_PERIOD = 1_024  # datagrams that are looked at in one, from all together
@@ -133,16 +135,13 @@
     def _write(self, out: list[Out], now_us: int) -> list[tuple[Address, bytes]]:
         found = []
         for each in out:
-            words = tuple(self.fellows.tell(min(MOST_WORDS, WORDS_AT_ONCE), each.to))
-            plain = Datagram(each.kind, each.number, self.fellows.me, self.fellows.unwell, each.subject,
-                             each.subject_address if each.subject_address[0] else ("0.0.0.0", 0), words)
-            rows: tuple[Evidence, ...] = ()
+            words = tuple(self.fellows.tell(WORDS_AT_ONCE, each.to))
+            datagram = Datagram(each.kind, each.number, self.fellows.me, self.fellows.unwell, each.subject,
+                                each.subject_address, words)
             if self.judgements is not None:
-                rows = tuple(self.judgements.tell(self.codec.room(plain), self.fellows.size,
-                                                  self.fellows.unwell, now_us))
-            data = self.codec.write(short(told(each.address)), Datagram(
-                plain.kind, plain.number, plain.sender, plain.unwell, plain.subject, plain.subject_address,
-                words, rows))
+                datagram = replace(datagram, rows=tuple(self.judgements.tell(
+                    self.codec.room(datagram), self.fellows.size, self.fellows.unwell, now_us)))
+            data = self.codec.write(short(told(each.address)), datagram)
             self.sent.datagrams += 1
             self.sent.octets += len(data)
             found.append((each.address, data))
--- a/plovertrail/store/keeper.py
+++ b/plovertrail/store/keeper.py
@@ -99,9 +99,12 @@
             try:
                 await asyncio.to_thread(self._put, files, now, others, states is not None)
                 self.problem = ""
-            except OSError as error:
-                self.problem = f"{self.path} can't be written: {error.strerror}"
+            except Exception as error:
+                # hazard: whatever else is wrong with one write, with its task all later ones would end unseen
+                why = error.strerror if isinstance(error, OSError) else repr(error)
+                self.problem = f"{self.path} can't be written: {why}"
                 log.error("%s: after a restart the lists are those of the last write", self.problem)
+                files.close()  # so the next one is whole
                 if self.closing:
                     return
                 self.states = self.states or states or partial(dict, now)
--- a/standins/cluster/instances.py
+++ b/standins/cluster/instances.py
@@ -17,6 +17,7 @@
 from plovertrail.cli.control import NoAnswer, asked
 
 PATIENCE_S = 30.0
+DISK = ("state", "state.journal")
 SERVE = ("-m", "plovertrail.cli", "serve")
 PLAIN = """import asyncio, sys
 from plovertrail import daemon
@@ -186,15 +187,19 @@
 
     def lose_state(self) -> None:
         """Its disk is gone."""
-        (self.folder / "state").unlink(missing_ok=True)
+        for name in DISK:
+            (self.folder / name).unlink(missing_ok=True)
 
     def keep_state(self) -> None:
         """A copy of what its disk holds now,"""
-        shutil.copy(self.folder / "state", self.folder / "kept")
+        (self.folder / "kept").mkdir(exist_ok=True)
+        for name in DISK:
+            shutil.copy(self.folder / name, self.folder / "kept" / name)
 
     def old_state(self) -> None:
         """and is as it was then."""
-        shutil.copy(self.folder / "kept", self.folder / "state")
+        for name in DISK:
+            shutil.copy(self.folder / "kept" / name, self.folder / name)
 
     def fill_disk(self) -> None:
         """Nothing more can be written to it, but what its log holds already."""
--- a/standins/cluster/judge.py
+++ b/standins/cluster/judge.py
@@ -31,6 +31,11 @@
     broken: list[str] = field(default_factory=list)
     counts: Counter[str] = field(default_factory=Counter)
 
+    @property
+    def rules(self) -> list[str]:
+        """What is the program's: how late answers are is this machine's matter as well."""
+        return [line for line in self.broken if not line.startswith("late")]
+
     def figures(self) -> str:
         return ", ".join(f"{count} {what}" for what, count in sorted(self.counts.items()))
 
--- a/tests/cluster/test_processes.py
+++ b/tests/cluster/test_processes.py
@@ -25,8 +25,7 @@
             await it.instances[0].ready()
             status = (await it.instances[0].status())["recovery"]
             assert status["gaps"] >= 1 and status["longest_gap_s"] > 2.0
-            # how late answers are is this machine's matter; all else is the program's
-            assert [told for told in verdict.broken if not told.startswith("late")] == []
+            assert verdict.rules == []
             assert verdict.counts["served"] and it.shops[1].runs
             assert "stood still" in it.instances[0].log()
 
--- a/tests/cluster/test_talking.py
+++ b/tests/cluster/test_talking.py
@@ -46,8 +46,7 @@
             for number in range(4):
                 await until_states(it, number, {"alive", "suspect"})
             verdict = await it.play()
-            # how late answers are is this machine's matter; all else is the program's
-            assert [told for told in verdict.broken if not told.startswith("late")] == []
+            assert verdict.rules == []
             bad = it.shops[2]
             assert it.switch is not None and it.switch.passed > 100 and it.switch.lost > 20
             others = sum(len(shop.runs) for shop in it.shops if shop is not bad) / 3
--- a/tests/decisions/test_fellows.py
+++ b/tests/decisions/test_fellows.py
@@ -13,6 +13,7 @@
     MOST_DOUBT,
     MOST_FELLOWS,
     MOST_WORDS_HELD,
+    NOWHERE,
     Fellows,
     Kind,
     State,
@@ -220,7 +221,7 @@
     asker, other = ("10.0.0.2", 2), ("10.0.0.3", 3)
     (probe,) = fellows.came(Kind.ASK, 77, "c", asker, other, 0)
     assert (probe.kind, probe.address, probe.to) == (Kind.PROBE, other, "c")
-    (answer,) = fellows.came(Kind.ACK, probe.number, "", other, ("", 0), 100)
+    (answer,) = fellows.came(Kind.ACK, probe.number, "", other, NOWHERE, 100)
     assert (answer.kind, answer.address, answer.number) == (Kind.ACK, asker, 77)
     fellows.came(Kind.ASK, 78, "c", asker, other, 0)
     (late,) = [out for out in fellows.tick(S // 2) if out.kind is Kind.NACK]
--- a/tests/store/test_restart.py
+++ b/tests/store/test_restart.py
@@ -8,8 +8,12 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import pytest
+
 from plovertrail.config.operator import load
 from plovertrail.daemon import Daemon
+from plovertrail.decisions.membership import Candidate, Entry, Guards, State, reduce
+from plovertrail.store import keeper
 from standins.ports import free_port
 from standins.web import ERROR, OK, WebServer, always
 from tests.daemons import LIMITED, Running, message, run, site
@@ -44,7 +48,7 @@
             for _ in range(80):
                 await it.ask(message("GET /"))
             bad = next(iter(it.daemon.pools["main"].pool.balancer.servers.values()))
-            before = bad.distrust
+            before = round(bad.distrust, 2)  # as it is kept
             assert before > 0.2
             it.daemon.background.hurry("state")
             await until(lambda: bool(it.daemon.keeper.other_image))
@@ -80,6 +84,35 @@
     run(test)
 
 
+def test_a_write_that_fails_in_any_way_is_told_and_the_next_one_is_whole(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(keeper, "RETRY_S", 0.01)
+    lists = [Candidate("file:x", (Entry(f"s{n}", ("127.0.0.1", n)),)) for n in (1, 2)]
+    states = [reduce(State(started=True), listed, 1, Guards())[0] for listed in lists]
+
+    async def test() -> None:
+        it = keeper.StoreKeeper(str(tmp_path / "state"))
+        it.read()
+        it.keep(lambda: {"main": states[0]})
+        await until(lambda: it.writer is not None and it.writer.done())
+        assert it.files is not None and it.problem == ""
+        told: list[str] = []
+
+        def broken(*arguments: object) -> None:
+            it.files.append = append  # type: ignore[method-assign, union-attr]
+            raise ValueError("no bytes for this")
+
+        append, it.files.append = it.files.append, broken  # type: ignore[method-assign, assignment]
+        monkeypatch.setattr(keeper.log, "error", lambda text, *arguments: told.append(text % arguments))
+        it.keep(lambda: {"main": states[1]})
+        await until(lambda: bool(told) and it.writer is not None and it.writer.done())
+        assert "no bytes for this" in told[0] and it.problem == "" and it.files.snapshots == 2
+        await it.close()
+
+    run(test)
+    assert set(keeper.StoreKeeper(str(tmp_path / "state")).read().states["main"].members) == {"s2"}
+
+
 def test_work_of_the_daemon_has_a_place_in_its_status(tmp_path: Path) -> None:
     async def test() -> None:
         server = WebServer()
