Budgets that are never overspent, begun: rights that electors promise and instances lend

Need: some limits must hold always, in any partition, with no leader; shared counts hold theirs on average.

No daemon uses it yet.

--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -311,7 +311,9 @@
     def _list_changed(self) -> None:
         for pool in self.pools.values():
             before = pool.overdrawn
-            pool.take_part(self.fleet, self.place, self.generation.setup.fleet.slow_start)
+            # a reload is no start: this instance has its traffic, and would refuse some of it
+            starts = self.generation.number == 1 and self.generation.setup.fleet.slow_start
+            pool.take_part(self.fleet, self.place, starts)
             if pool.overdrawn and not before:
                 log.error("%s: %s", pool.config.name, pool.overdrawn)
         self.keeper.keep(lambda: {name: pool.roster.state for name, pool in self.pools.items()})
--- a/plovertrail/decisions/admission.py
+++ b/plovertrail/decisions/admission.py
@@ -2,7 +2,7 @@
 
 Each module alone opens one slot at each server: N instances that start at one moment would have N requests
 at each server, whatever it bears. So an instance of a fleet begins with its part of one request at each
-server, and with one at least; each answer in time lets one more in, so that it doubles with each round, and
+server, and with two at least; each answer in time lets one more in, so that it doubles with each round, and
 each late one or refusal takes one back (slow start: Jacobson, "Congestion Avoidance and Control", SIGCOMM
 1988, by success and not by time). It is over once it lets in as many as there are servers, as from there on
 the module's slots rise by the same evidence; or once so long has gone by with nothing late. Pure.
@@ -15,6 +15,7 @@
 from plovertrail.decisions.interface import Outcome
 
 CALM_US = 5_000_000  # without one late answer: what is asked is too little to tell, and to do harm
+LEAST = 2.0  # hazard: with one, of requests that come at random many would find the other one in their way
 IN_TIME = 0.5  # of the aim: where slots settle an answer takes less
 LATE = (Outcome.TIMEOUT, Outcome.FULL)
 # what is refused comes back at random within this, several times the second that ordinary clients are told in
@@ -29,8 +30,7 @@
         self.size = size
         self.rng = rng
         self.servers = 0
-        self.window = 1.0
-        self.least = 1.0
+        self.window = self.least = LEAST
         self.since_us = now_us
         self.late_us = now_us  # when an answer was last late, or this began
         self.over = size <= 1
@@ -40,13 +40,15 @@
         """So many servers are in use here. Where parts are not whole some have one more, by chance."""
         if not self.over and servers != self.servers:
             self.servers = servers
-            self.least = max(1.0, float(int(servers / self.size + self.rng())))
+            self.least = max(LEAST, float(int(servers / self.size + self.rng())))
             self.window = max(self.window, self.least)
 
     def may(self, at_once: int, now_us: int) -> bool:
         """Whether a request may come in beside so many that are open."""
         if self.over:
             return True
+        if not self.servers:
+            return True  # none is known yet, and nothing can be sent
         if self.window >= self.servers or now_us - self.late_us >= CALM_US:
             self.over = True
             return True
--- a/plovertrail/decisions/recovery.py
+++ b/plovertrail/decisions/recovery.py
@@ -48,7 +48,7 @@
     Piece("judgements on servers", "the state file", "10 minutes, and half as much after each 30 s",
           "each server begins with one slot, and more open as answers come in time", kept=True),
     Piece("how much is let in at once", "learnt anew, by answers in time", "the process's life",
-          "of a fleet's instances all together begin with one request at each server, or one each"),
+          "of a fleet's instances all together begin with one request at each server, or two each"),
     Piece("limits' buckets", "the state file", "until the key has paid, at most for one burst",
           "each key may have one burst again", kept=True, part="limiters"),
     Piece("tenants' shares", "learnt anew", "the process's life", "all tenants begin with equal work done",
--- /dev/null
+++ b/standins/escrow_checker.py
@@ -0,0 +1,314 @@
+"""All histories of a few instances and a few rights, breadth first: `python -m standins.escrow_checker`.
+
+Instances run the real `Elector` and `Holder`, each on a clock of its own speed. A step is a claim, a message
+that arrives late or twice, a right spent, lent or given back, a restart, or time that goes by; what never
+arrives is a history that ends before. Held all along: what is in use at one moment, and what all could spend
+at that moment, are together no more than there is. States that are the same are gone on from once. The first
+history that breaks it is the shortest.
+
+Two of the three instances hold rights; all promise. A claim is heard at once by two of them, or, as a repeat,
+later as well; more hearers only promise more.
+"""
+
+from __future__ import annotations
+
+import argparse
+import itertools
+import pickle
+import sys
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from plovertrail.decisions.escrow import (
+    Ask,
+    Claim,
+    Elector,
+    Grant,
+    Holder,
+    Message,
+    Promise,
+    Release,
+    Return,
+    Rules,
+    Ticket,
+    Who,
+)
+
+NAMES = ("a", "b", "c")
+SPEEDS = (0.9, 1.1, 1.0)  # of their clocks, beside the true time
+RULES = Rules(total=1, slots=1, lease_us=1_000, hold_us=100, drift=0.1, slack_us=1)
+WAIT = 560  # of the true time, a step: two outlast a lease
+MOST_STATES = 400_000
+HOLDERS = (0, 1)
+REACHED = ((0, 1), (1, 2), (0, 2))  # the electors that hear a claim at once
+
+
+@dataclass
+class Bundle:
+    """Messages that are under way together: from one to some, or from some to one."""
+
+    kind: str
+    one: int
+    others: tuple[int, ...]
+    messages: tuple[Message, ...]
+    life: int  # of the one, when they were sent
+
+
+@dataclass
+class World:
+    """All that there is at one moment."""
+
+    rules: Rules
+    now: int = 10_000
+    electors: list[Elector] = field(default_factory=list)
+    holders: list[Holder] = field(default_factory=list)
+    lives: list[int] = field(default_factory=list)
+    under_way: list[Bundle] = field(default_factory=list)
+    effects: list[tuple[int, int]] = field(default_factory=list)  # rights in use, from and till when truly
+    tickets: list[tuple[int, Ticket, tuple[int, int]]] = field(default_factory=list)
+    claims = repeats = restarts = asks = spent = 0
+
+    def clock(self, one: int) -> int:
+        return int(self.now * SPEEDS[one])
+
+    def reach(self) -> int:
+        """What is in use, and what all could spend now."""
+        return (sum(begins <= self.now < ends for begins, ends in self.effects)
+                + sum(holder.spare(self.clock(one)) for one, holder in enumerate(self.holders)))
+
+
+@dataclass(frozen=True)
+class Limits:
+    """How often a history may do what makes it longer."""
+
+    claims: int = 3
+    repeats: int = 0
+    restarts: int = 0
+    asks: int = 0
+    spends: int = 0
+    releases: bool = False
+
+
+LIMITS = {
+    "claims and restarts": Limits(restarts=1, spends=1),
+    "claims that come late, releases": Limits(repeats=1, releases=True),
+    "loans": Limits(claims=2, repeats=1, asks=1, spends=1),
+    "loans over a restart": Limits(claims=2, restarts=1, asks=1, spends=1),
+}
+
+
+@dataclass(frozen=True)
+class Found:
+    """What an exploration came to; `history` is empty where nothing broke."""
+
+    states: int
+    depth: int
+    seconds: float
+    history: tuple[str, ...]
+
+
+class Checker:
+    """`holder` and `elector`: what the instances run; a planted fault in one of them must be found."""
+
+    def __init__(self, limits: Limits, rules: Rules = RULES, holder: type[Holder] = Holder,
+                 elector: type[Elector] = Elector) -> None:
+        self.limits = limits
+        self.rules = rules
+        self.holder = holder
+        self.elector = elector
+
+    def new_holder(self, one: int, life: int) -> Holder:
+        return self.holder(self.rules, Who(NAMES[one], life), [NAMES])
+
+    def begin(self) -> World:
+        world = World(self.rules)
+        for one in range(len(NAMES)):
+            # they have been there for long: no elector is in doubt any more
+            world.electors.append(self.elector(self.rules, world.clock(one) - 10 * self.rules.lease_us))
+            world.holders.append(self.new_holder(one, 1))
+            world.lives.append(1)
+        return world
+
+    # Steps
+
+    def steps(self, world: World) -> Iterator[tuple[str, Callable[[World], None]]]:
+        """All that can happen next."""
+        limits = self.limits
+        for one in HOLDERS:
+            if world.claims < limits.claims:
+                for others in REACHED:
+                    yield f"{NAMES[one]} claims, heard by {named(others)}", _claims(one, others, False)
+                    if world.repeats < limits.repeats:
+                        what = f"{NAMES[one]} claims, heard by {named(others)}, and again later"
+                        yield what, _claims(one, others, True)
+            if world.spent < limits.spends and world.holders[one].spare(world.clock(one)):
+                yield f"{NAMES[one]} spends one", _spends(one)
+            if world.restarts < limits.restarts and world.claims:
+                yield f"{NAMES[one]} restarts", self._restarts(one)
+            if limits.releases and 0 in world.holders[one].slots:
+                yield f"{NAMES[one]} releases, heard by all", _releases(one)
+            if world.asks < limits.asks:
+                for other in HOLDERS:
+                    if other != one and world.holders[other].slots:
+                        yield f"{NAMES[one]} asks {NAMES[other]} to lend", _asks(one, other)
+            for number in world.holders[one].loans:
+                yield f"{NAMES[one]} gives back {number}", _gives_back(one, number)
+        for place, bundle in enumerate(world.under_way):
+            what = f"{bundle.kind} between {NAMES[bundle.one]} and {named(bundle.others)} arrive"
+            yield what, _arrives(place, False)
+            if world.repeats < limits.repeats:
+                yield what + ", and are still under way", _arrives(place, True)
+        if world.restarts < limits.restarts and world.claims:
+            yield f"{NAMES[2]} restarts", self._restarts(2)
+        for place, (one, *_) in enumerate(world.tickets):
+            yield f"{NAMES[one]} hears that it is done", _done(place)
+        yield f"{WAIT} go by", _waits
+
+    def _restarts(self, one: int) -> Callable[[World], None]:
+        def step(world: World) -> None:
+            world.restarts += 1
+            world.lives[one] += 1
+            world.electors[one] = self.elector(self.rules, world.clock(one))
+            world.holders[one] = self.new_holder(one, world.lives[one])
+            world.tickets = [each for each in world.tickets if each[0] != one]
+        return step
+
+    # All histories
+
+    def explore(self, depth: int, most: int = MOST_STATES) -> Found:
+        """All histories of so many steps, or those of so many states."""
+        began = time.monotonic()
+        first = pickle.dumps(self.begin())
+        known = {first}
+        edge: list[tuple[bytes, tuple[str, ...]]] = [(first, ())]
+        for level in range(1, depth + 1):
+            further: list[tuple[bytes, tuple[str, ...]]] = []
+            for packed, history in edge:
+                for what, step in self.steps(pickle.loads(packed)):
+                    world: World = pickle.loads(packed)
+                    step(world)
+                    told = (*history, what)
+                    if world.reach() > self.rules.total:
+                        return Found(len(known), level, time.monotonic() - began, told)
+                    after = pickle.dumps(world)
+                    if after not in known:
+                        if len(known) >= most:
+                            return Found(len(known), level, time.monotonic() - began, ())
+                        known.add(after)
+                        further.append((after, told))
+            edge = further
+        return Found(len(known), depth, time.monotonic() - began, ())
+
+
+def named(some: tuple[int, ...]) -> str:
+    return ", ".join(NAMES[one] for one in some)
+
+
+def _claims(one: int, others: tuple[int, ...], again: bool) -> Callable[[World], None]:
+    def step(world: World) -> None:
+        world.claims += 1
+        claim = world.holders[one].claim(0, world.clock(one))
+        world.under_way.append(Bundle("claims", one, others, (claim,), world.lives[one]))
+        _arrives(len(world.under_way) - 1, again)(world)
+    return step
+
+
+def _spends(one: int) -> Callable[[World], None]:
+    def step(world: World) -> None:
+        ticket = world.holders[one].spend(world.clock(one))
+        assert ticket is not None
+        world.spent += 1
+        effect = world.now, world.now + world.rules.hold_us
+        world.effects.append(effect)
+        world.tickets.append((one, ticket, effect))
+    return step
+
+
+def _done(place: int) -> Callable[[World], None]:
+    def step(world: World) -> None:
+        one, ticket, effect = world.tickets.pop(place)
+        world.holders[one].done(ticket)
+        world.effects.remove(effect)
+    return step
+
+
+def _releases(one: int) -> Callable[[World], None]:
+    def step(world: World) -> None:
+        release = world.holders[one].release(0, world.clock(one))
+        if release is not None:
+            world.under_way.append(Bundle("releases", one, (0, 1, 2), (release,), world.lives[one]))
+    return step
+
+
+def _asks(one: int, other: int) -> Callable[[World], None]:
+    def step(world: World) -> None:
+        world.asks += 1
+        ask = world.holders[one].ask(NAMES[other], 1, world.clock(one))
+        world.under_way.append(Bundle("asks", one, (other,), (ask,), world.lives[one]))
+    return step
+
+
+def _gives_back(one: int, number: int) -> Callable[[World], None]:
+    def step(world: World) -> None:
+        found = world.holders[one].give_back(number, world.clock(one))
+        if found is not None:
+            lender = NAMES.index(found[0])
+            world.under_way.append(Bundle("returns", one, (lender,), (found[1],), world.lives[one]))
+    return step
+
+
+def _waits(world: World) -> None:
+    world.now += WAIT
+    world.effects = [each for each in world.effects if each[1] > world.now]
+    world.tickets = [each for each in world.tickets if each[2][1] > world.now]
+
+
+def _arrives(place: int, again: bool) -> Callable[[World], None]:
+    def step(world: World) -> None:
+        bundle = world.under_way[place]
+        if again:
+            world.repeats += 1
+        else:
+            del world.under_way[place]
+        who = Who(NAMES[bundle.one], bundle.life)
+        alive = world.lives[bundle.one] == bundle.life
+        back: list[Message] = []
+        for other, message in zip(bundle.others, itertools.cycle(bundle.messages), strict=False):
+            now = world.clock(other)
+            if isinstance(message, Claim):
+                back.append(world.electors[other].claimed(message, who, now))
+            elif isinstance(message, Release):
+                world.electors[other].released(message, who)
+            elif isinstance(message, Ask):
+                grant = world.holders[other].asked(message, who, message.want, now)
+                back += [grant] if grant is not None else []
+            elif isinstance(message, Return):
+                world.holders[other].returned(message, who)
+            elif isinstance(message, Promise) and alive:
+                world.holders[bundle.one].promised(message, NAMES[other], world.clock(bundle.one))
+            elif isinstance(message, Grant) and alive:
+                world.holders[bundle.one].granted(message, NAMES[other], world.clock(bundle.one))
+        if back:
+            kind = "promises" if isinstance(back[0], Promise) else "loans"
+            world.under_way.append(Bundle(kind, bundle.one, bundle.others, tuple(back), bundle.life))
+    return step
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m standins.escrow_checker")
+    parser.add_argument("--depth", type=int, default=8)
+    parser.add_argument("--states", type=int, default=MOST_STATES)
+    asked = parser.parse_args()
+    broken = 0
+    for name, limits in LIMITS.items():
+        found = Checker(limits).explore(asked.depth, asked.states)
+        print(f"{name}: {found.states:,} states, a depth of {found.depth}, {found.seconds:.1f} s", flush=True)
+        for line in found.history:
+            print("  " + line)
+        broken += bool(found.history)
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/escrow_model.py
@@ -0,0 +1,213 @@
+"""Budgets of a whole fleet on a virtual clock.
+
+Real holders, electors and planners, a network that loses and splits, clocks of different speeds, and demand
+that moves. What is in use is counted as servers would see it.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from plovertrail.decisions.escrow import Claim, Elector, Message, Release, Rules, Ticket, Who
+from plovertrail.decisions.escrow_plan import Out, Planner
+from plovertrail.lab.clock import SECOND_US, Clock
+
+ELECTORS = 5
+DELAY_US = (500, 20_000)
+BUDGET = "b"
+
+
+@dataclass(frozen=True)
+class Plan:
+    """`work_us`: of a request, on average; it never takes longer than a right is held."""
+
+    instances: int = 24
+    rules: Rules = field(default_factory=lambda: Rules(
+        total=96, slots=48, lease_us=6 * SECOND_US, hold_us=SECOND_US))
+    per_s: float = 600.0  # of all instances
+    work_us: int = 100_000
+    loss: float = 0.0
+    even: bool = True  # demand; else a few instances have nearly all of it, others each `moves_s`
+    moves_s: float = 1.0
+    hot: int = 3
+
+
+class Member:
+    """One instance: its lives, its clock, and its part in the budget."""
+
+    def __init__(self, model: Model, number: int) -> None:
+        self.model = model
+        self.number = number
+        self.name = f"i{number}"
+        # within what the rules allow for
+        self.speed = 1.0 + model.plan.rules.drift * (2.0 * model.rng.random() - 1.0) * 0.99
+        self.life = 0
+        self.up = self.awake = True
+        self.waiting: list[Callable[[], None]] = []  # that came while it stood still
+        self.sent = 0
+        self.start()
+
+    def now(self) -> int:
+        return int(self.model.clock.now_us * self.speed)
+
+    def start(self) -> None:
+        self.life += 1
+        self.up = True
+        rules, model = self.model.plan.rules, self.model
+        self.elector = Elector(rules, self.now())
+        self.planner = Planner(BUDGET, rules, Who(self.name, self.life), [model.electors], model.names,
+                               random.Random(model.rng.random()), self.now())
+        model.clock.after(1, self.look, self.life)
+
+    def look(self, life: int) -> None:
+        """Its timer."""
+        if life != self.life or not self.up:
+            return
+        if not self.awake:
+            self.waiting.append(lambda: self.look(life))
+            return
+        self.send(self.planner.tick(self.now()))
+        wait_us = max(1_000, self.planner.next_us - self.now())
+        self.model.clock.after(int(wait_us / self.speed) + 1, self.look, life)
+
+    def send(self, out: Iterable[Out]) -> None:
+        who = Who(self.name, self.life)
+        for each in out:
+            self.sent += 1
+            self.model.deliver(self, self.model.by_name[each.to], each.message, who)
+
+    def came(self, message: Message, who: Who, sender: Member) -> None:
+        if not self.up:
+            return
+        if not self.awake:
+            self.waiting.append(lambda: self.came(message, who, sender))
+            return
+        now = self.now()
+        if isinstance(message, Claim):
+            self.sent += 1
+            promise = self.elector.claimed(message, who, now)
+            self.model.deliver(self, sender, promise, Who(self.name, self.life))
+        elif isinstance(message, Release):
+            self.elector.released(message, who)
+        else:
+            self.send(self.planner.came(message, who, now))
+
+    def wake(self) -> None:
+        self.awake = True
+        waiting, self.waiting = self.waiting, []
+        for each in waiting:
+            each()
+
+
+class Model:
+    """One play. `worst` is the most that was in use at one moment."""
+
+    def __init__(self, plan: Plan, seed: int = 1) -> None:
+        self.plan = plan
+        self.rng = random.Random(seed)
+        self.clock = Clock()
+        self.electors = tuple(f"i{number}" for number in range(min(ELECTORS, plan.instances)))
+        self.all_names = [f"i{number}" for number in range(plan.instances)]
+        self.members = [Member(self, number) for number in range(plan.instances)]
+        self.by_name = {member.name: member for member in self.members}
+        self.parts: dict[int, int] = {}  # which part of a split each is in
+        self.in_use = self.worst = 0
+        self.asked = self.let_in = 0
+        # the same requests under one who knows all, and under fixed parts
+        self.ideal = self.ideal_in_use = self.fixed = 0
+        self.fixed_in_use = [0] * plan.instances
+        self.hot: list[int] = []
+
+    def names(self) -> list[str]:
+        return self.all_names
+
+    def deliver(self, sender: Member, receiver: Member, message: Message, who: Who) -> None:
+        apart = self.parts.get(sender.number, 0) != self.parts.get(receiver.number, 0)
+        if apart or (sender is not receiver and self.rng.random() < self.plan.loss):
+            return
+        self.clock.after(self.rng.randint(*DELAY_US), receiver.came, message, who, sender)
+
+    # Demand
+
+    def play(self, seconds: float) -> None:
+        """So long under load."""
+        ends = self.clock.now_us + int(seconds * SECOND_US)
+        self.clock.after(0, self._move, ends)
+        self.clock.after(0, self._next, ends)
+        self.clock.run(ends)
+
+    def forget(self) -> None:
+        """Count from now on."""
+        self.asked = self.let_in = self.ideal = self.fixed = 0
+
+    def _move(self, ends: int) -> None:
+        self.hot = self.rng.sample(range(self.plan.instances), min(self.plan.hot, self.plan.instances))
+        if self.clock.now_us < ends:
+            self.clock.after(int(self.plan.moves_s * SECOND_US), self._move, ends)
+
+    def _next(self, ends: int) -> None:
+        if self.clock.now_us >= ends:
+            return
+        self.clock.after(max(1, int(self.rng.expovariate(self.plan.per_s / SECOND_US))), self._next, ends)
+        uneven = not self.plan.even and self.rng.random() < 0.9
+        number = self.rng.choice(self.hot) if uneven else self.rng.randrange(self.plan.instances)
+        member = self.members[number]
+        rules = self.plan.rules
+        took = min(int(self.rng.expovariate(1 / self.plan.work_us)), rules.hold_us - rules.slack_us)
+        if not member.up or not member.awake:
+            return  # whatever one who knows all would do, nobody is there to ask
+        self.asked += 1
+        if self.ideal_in_use < rules.total:
+            self.ideal += 1
+            self.ideal_in_use += 1
+            self.clock.after(took, self._over, "ideal", number)
+        if self.fixed_in_use[number] < rules.total // self.plan.instances:
+            self.fixed += 1
+            self.fixed_in_use[number] += 1
+            self.clock.after(took, self._over, "fixed", number)
+        ticket = member.planner.spend(member.now())
+        if ticket is None:
+            return
+        assert isinstance(ticket, Ticket)
+        self.let_in += 1
+        self.in_use += 1
+        self.worst = max(self.worst, self.in_use)
+        self.clock.after(took, self._ended, member, member.life, ticket)
+
+    def _over(self, what: str, number: int) -> None:
+        if what == "ideal":
+            self.ideal_in_use -= 1
+        else:
+            self.fixed_in_use[number] -= 1
+
+    def _ended(self, member: Member, life: int, ticket: Ticket) -> None:
+        self.in_use -= 1
+        if member.life == life and member.up:
+            member.planner.holder.done(ticket)
+
+    # Faults
+
+    def kill(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
+            self.members[number].up = False
+            self.members[number].life += 1
+
+    def start(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
+            self.members[number].start()
+
+    def stop(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
+            self.members[number].awake = False
+
+    def wake(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
+            self.members[number].wake()
+
+    def split(self, parts: Iterable[Iterable[int]]) -> None:
+        self.parts = {number: part for part, numbers in enumerate(parts) for number in numbers}
+
+    def heal(self) -> None:
+        self.parts = {}
--- a/tests/benchmarks/test_short_forms.py
+++ b/tests/benchmarks/test_short_forms.py
@@ -30,6 +30,8 @@
          "stood still, one server drained meanwhile"),
         ("coming_back_model", ("--sizes", "40", "--seconds", "4", "--case", "0", "--jobs", "1"),
          "40: killed, with state, on"),
+        ("fleet_budgets", ("--seconds", "2", "--case", "6", "--states", "500", "--jobs", "1"),
+         "more instances than rights"),
         ("shared_counts", ("--virtual", "--seconds", "8"), "let_through"),
         ("store_cost", ("--servers", "200", "--seconds", "1"), "worst_turn_ms"),
         ("fellows", ("--short", "--seeds", "1", "--seconds", "5"), "load"),
--- /dev/null
+++ b/tests/decisions/test_escrow_plan.py
@@ -0,0 +1,187 @@
+"""Who asks whom for rights: whatever happens the sum holds, and rights follow demand."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from plovertrail.decisions.escrow import Ask, Grant, Promise, Rules, Who
+from plovertrail.decisions.escrow_plan import Planner
+from plovertrail.lab.clock import SECOND_US
+from standins.escrow_model import Model, Plan
+
+S = SECOND_US
+RULES = Rules(total=60, slots=20, lease_us=3 * S, hold_us=S // 2)
+PLAN = Plan(instances=10, rules=RULES, per_s=300.0, work_us=80_000)
+
+
+def settled(plan: Plan = PLAN, seed: int = 1) -> Model:
+    """A fleet that has shared the budget out."""
+    model = Model(plan, seed)
+    model.play(5.0)
+    model.forget()
+    return model
+
+
+def test_nothing_is_spent_till_it_is_sure_and_then_the_whole_budget_is_held() -> None:
+    model = Model(PLAN)
+    model.play(RULES.lease_us / S)
+    assert model.let_in == 0 < model.asked, "electors that have just started promise nothing"
+    model.play(2.0)
+    assert sum(len(each.planner.holder.held(each.now())) for each in model.members) == RULES.slots
+
+
+def test_even_demand_is_served_about_as_by_one_who_knows_all() -> None:
+    model = settled()
+    model.play(5.0)
+    assert model.worst <= RULES.total
+    assert model.let_in >= 0.85 * model.ideal
+
+
+def test_demand_that_moves_gets_far_more_than_fixed_parts_would_give_it() -> None:
+    model = settled(replace(PLAN, even=False, hot=1, moves_s=4.0))
+    model.play(8.0)
+    assert model.worst <= RULES.total
+    assert model.let_in > 1.5 * model.fixed
+
+
+def test_each_half_of_a_split_goes_on_within_what_it_holds() -> None:
+    model = settled()
+    model.split([[0, 2, 4, 6, 8], [1, 3, 5, 7, 9]])
+    model.play(1.0)
+    model.forget()
+    model.play(6.0)
+    assert model.worst <= RULES.total
+    # the half with two of the five electors keeps nothing past its leases
+    minority = [model.members[number] for number in (1, 3, 5, 7, 9)]
+    assert all(not each.planner.holder.held(each.now()) for each in minority)
+    assert sum(each.planner.holder.in_use(each.now()) for each in model.members) > 0
+    model.heal()
+    model.play(6.0)
+    assert model.worst <= RULES.total
+    assert all(each.planner.had(each.now()) > 0 for each in model.members)
+
+
+def test_the_rights_of_the_dead_come_back_after_their_leases_and_not_before() -> None:
+    model = settled()
+    model.kill(range(5, 10))
+    held = sum(len(model.members[number].planner.holder.held(model.members[number].now()))
+               for number in range(5))
+    model.play(1.0)
+    now_held = sum(len(each.planner.holder.held(each.now())) for each in model.members[:5])
+    assert now_held <= held < RULES.slots
+    for _ in range(12):
+        model.members[0].planner.peak = 40.0  # it wants them
+        model.play(0.5)
+    assert sum(len(each.planner.holder.held(each.now())) for each in model.members[:5]) == RULES.slots
+    assert model.worst <= RULES.total
+
+
+def test_one_that_stood_still_past_its_leases_finds_them_void_and_comes_back() -> None:
+    model = settled()
+    model.stop([7])
+    model.play(5.0)
+    assert model.members[7].planner.holder.spare(model.members[7].now()) == 0
+    model.wake([7])
+    model.play(3.0)
+    assert model.members[7].planner.had(model.members[7].now()) > 0
+    assert model.worst <= RULES.total
+
+
+FAULTS = st.lists(st.tuples(st.sampled_from(["kill", "stop", "split", "heal"]), st.integers(0, 9),
+                            st.integers(1, 12)), min_size=1, max_size=6)
+
+
+@settings(max_examples=12, deadline=None, derandomize=True)
+@given(FAULTS, st.sampled_from([0.0, 0.3]), st.integers(0, 1_000))
+def test_whatever_is_drawn_it_is_never_overspent_and_comes_back_once_healed(
+        faults: list[tuple[str, int, int]], loss: float, seed: int) -> None:
+    model = Model(replace(PLAN, loss=loss, even=False, hot=2), seed)
+    model.play(4.0)
+    for what, number, quarter in faults:
+        some = {number, (number * 3 + 1) % 10, (number * 7 + 2) % 10}
+        if what == "split":
+            model.split([[each for each in range(10) if (each in some) is part] for part in (True, False)])
+        elif what == "heal":
+            model.heal()
+        elif what == "kill":
+            model.kill(some)
+        else:
+            model.stop(some)
+        model.play(quarter / 4)
+        if what == "kill":
+            model.start(some)
+        elif what == "stop":
+            model.wake(some)
+        assert model.worst <= RULES.total
+    model.heal()
+    model.play(2 * RULES.lease_us / S + 2.0)
+    model.forget()
+    model.play(3.0)
+    assert model.worst <= RULES.total
+    assert model.let_in > 0.3 * model.ideal, "never stuck for good"
+
+
+# One planner alone
+
+
+def planner(members: int = 4) -> Planner:
+    names = [f"i{number}" for number in range(members)]
+    return Planner("b", RULES, Who("i0", 1), [("i1", "i2", "i3")], lambda: names, random.Random(1), 0)
+
+
+def give(it: Planner, now_us: int) -> None:
+    """Whatever it claims is promised."""
+    for out in it.tick(now_us):
+        message = out.message
+        if hasattr(message, "slot"):
+            it.came(Promise(message.slot, message.number, True), Who(out.to, 1), now_us)
+
+
+def test_it_claims_its_even_part_and_no_more_while_it_has_no_use_for_it() -> None:
+    it = planner()
+    for step in range(60):
+        give(it, step * S // 20)
+    assert it.had(3 * S) == it.even_part() == 15
+
+
+def test_it_lends_what_it_can_do_without_and_keeps_what_it_needs() -> None:
+    it = planner()
+    for step in range(60):
+        give(it, step * S // 20)
+    now_us = 3 * S
+    for _ in range(8):
+        assert it.spend(now_us) is not None
+    keeps = it.wanted(now_us)
+    lent = 0
+    for number in range(1, 9):
+        for out in it.came(Ask(number, 5), Who("i9", 1), now_us):
+            assert isinstance(out.message, Grant) and out.to == "i9"
+            lent += out.message.count
+    assert lent == 15 - keeps and it.had(now_us) == keeps
+
+
+def test_an_answer_that_is_lost_is_asked_for_under_the_same_number() -> None:
+    it = planner()
+    it.peak = 50.0
+    it.taken = {}
+    numbers = set()
+    for step in range(40):
+        it.peak = 50.0
+        for out in it.tick(step * S // 100):
+            if isinstance(out.message, Ask) and out.to == "i1":
+                numbers.add(out.message.number)
+    assert 0 < len(numbers) <= 6
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.5])
+def test_what_one_sends_is_bounded_whatever_is_asked_for(loss: float) -> None:
+    model = settled(replace(PLAN, per_s=2_000.0, loss=loss))
+    sent = [each.sent for each in model.members]
+    model.play(3.0)
+    assert max(each.sent - before for each, before in zip(model.members, sent, strict=True)) < 3 * 1_000
+    assert all(len(each.planner.asked) <= 6 and len(each.planner.returning) < 200 for each in model.members)
