--- a/plovertrail/decisions/admission.py
+++ b/plovertrail/decisions/admission.py
@@ -31,7 +31,6 @@
         self.rng = rng
         self.servers = 0
         self.window = self.least = LEAST
-        self.since_us = now_us
         self.late_us = now_us  # when an answer was last late, or this began
         self.over = size <= 1
         self.refused = 0
--- a/plovertrail/decisions/escrow_plan.py
+++ b/plovertrail/decisions/escrow_plan.py
@@ -17,7 +17,6 @@
 
 from plovertrail.decisions.escrow import (
     Ask,
-    Claim,
     Grant,
     Holder,
     Message,
@@ -96,7 +95,6 @@
         self.idle_since_us: int | None = None
         self.releasing: dict[int, tuple[Release, int]] = {}  # that go out again, and how often
         self.next_us = now_us + int(rng.random() * self._tick_us())
-        self.lent = self.borrowed = 0
 
     @property
     def rules(self) -> Rules:
@@ -302,9 +300,7 @@
                     return self._lost(message.slot, now_us)
         elif isinstance(message, Grant):
             self.asked.pop(message.number, None)
-            if self.holder.granted(message, who.name, now_us):
-                self.borrowed += message.count
-            else:
+            if not self.holder.granted(message, who.name, now_us):
                 self.poor[who.name] = now_us + self.rules.lease_us // POOR_PART
         elif isinstance(message, Return):
             self.holder.returned(message, who)
@@ -325,11 +321,5 @@
         grant = self.holder.asked(ask, who, most, now_us)
         if grant is None:
             return []
-        self.lent += grant.count
         # hazard: what was borrowed and is idle here could be lent by its owner, and by nobody else
         return [Out(who.name, grant), *self._loans_back(beyond - grant.count, now_us)]
-
-
-def messages_for_elector(message: Message) -> bool:
-    """Whether it is an elector's to answer."""
-    return isinstance(message, Claim | Release)
--- a/plovertrail/decisions/turns.py
+++ b/plovertrail/decisions/turns.py
@@ -32,8 +32,3 @@
     sorted_names = sorted(set(names))
     size = max(1, len(sorted_names))
     return Place(sorted_names.index(name), size) if name in sorted_names else Place(None, size)
-
-
-def span_us(size: int, per_s: float) -> int:
-    """Over how long `size` instances take their turns, so that so many come a second."""
-    return int(1e6 * size / per_s)
--- a/plovertrail/lab/instances.py
+++ b/plovertrail/lab/instances.py
@@ -60,7 +60,6 @@
         self.open: Counter[int] = Counter()
         self.owed: dict[int, Reply] = {}
         self.attempts: dict[int, list[Out]] = {}
-        self.armed_us = 0
 
     # Its life
 
@@ -186,14 +185,12 @@
             way_us *= 3
         if action.timeout_us:
             clock.after(action.timeout_us, self.ended, self.life, out, api.Outcome.TIMEOUT)
-        if server.silent:
-            return
         clock.after(way_us, self.came, self.life, out)
 
     def came(self, life: int, out: Out) -> None:
         """The request is at its server."""
         took_us = out.server.answers_us()
-        outcome = api.Outcome.ERROR if out.server.failing else api.Outcome.OK
+        outcome = api.Outcome.OK
         if took_us is None:
             took_us, outcome = 0, api.Outcome.FULL
         self.around.clock.after(took_us + self.around.network_us, self.ended, life, out, outcome)
@@ -203,7 +200,7 @@
             return
         out.ended = True
         number, now_us = out.server.number, self.around.clock.now_us
-        if outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.FULL):
+        if outcome in (api.Outcome.OK, api.Outcome.FULL):
             if self.budget.keep_idle:
                 self.idle[number] = self.idle.get(number, 0) + 1
             else:
--- a/plovertrail/lab/servers.py
+++ b/plovertrail/lab/servers.py
@@ -36,8 +36,6 @@
     clock: Clock
     rng: random.Random
     started_us: int = 0  # 0 = long ago
-    silent: bool = False
-    failing: bool = False
     open: int = 0
     free: list[int] = field(default_factory=list)  # when each slot will be; a heap
     requests: Counter[int] = field(default_factory=Counter)
--- a/tests/decisions/test_turns.py
+++ b/tests/decisions/test_turns.py
@@ -4,7 +4,7 @@
 
 import random
 
-from plovertrail.decisions.turns import Place, place, span_us
+from plovertrail.decisions.turns import Place, place
 
 
 def test_those_in_a_list_come_one_in_each_part_of_a_span() -> None:
@@ -29,7 +29,3 @@
     one, other = Place(3, 10), Place(3, 10)
     assert one.part(0.2) != other.part(0.9)
     assert all(0.3 <= one.part(draw) < 0.4 for draw in (0.0, 0.5, 0.999))
-
-
-def test_a_span_lets_so_many_come_a_second() -> None:
-    assert span_us(5_000, 500.0) == 10_000_000
