--- a/benchmarks/coming_back_model.py
+++ b/benchmarks/coming_back_model.py
@@ -48,7 +48,7 @@
     Case("killed three times in a row", again=3),
     Case("down for 4 s, clients come again", down_s=4.0, with_state=False),
     Case("the same, servers that thrash", down_s=4.0, with_state=False, thrash=0.02),
-    Case("the load is half as much again", with_state=False, thrash=0.02, more=1.4),
+    Case("the load is 1.4 times as much", with_state=False, thrash=0.02, more=1.4),
 )
 
 
--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -11,7 +11,6 @@
 import signal
 import socket
 from collections.abc import Awaitable, Callable, Iterator, Mapping
-from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -23,12 +22,10 @@
 from plovertrail.config.problems import ConfigError, Problem
 from plovertrail.control import ControlSocket
 from plovertrail.decisions import share
-from plovertrail.decisions.admission import Admission
 from plovertrail.decisions.background import Priority, Work
-from plovertrail.decisions.fairness import Door
 from plovertrail.decisions.limits import Limiter
-from plovertrail.decisions.membership import Entry, State
-from plovertrail.decisions.turns import Place, place
+from plovertrail.decisions.membership import State
+from plovertrail.fleet_keeper import FleetKeeper
 from plovertrail.fronts.ordinary import OrdinaryFront
 from plovertrail.fronts.sockets import SocketKeeper
 from plovertrail.generation import Current, Generation, make_generation
@@ -41,7 +38,7 @@
 from plovertrail.roster import FirstRead, Roster
 from plovertrail.running_pool import Connect, RunningPool, connect
 from plovertrail.sources.files import FileSource, first_read
-from plovertrail.sources.instances import InstanceList
+from plovertrail.status import limiter_status, pool_status
 from plovertrail.store.keeper import StoreKeeper
 from plovertrail.store.memory import MemoryKeeper
 
@@ -89,34 +86,13 @@
 
 def read_lists(setup: operator.Setup, known: frozenset[tuple[str, bool]]) -> dict[str, FirstRead]:
     """The lists that a setup names and that are not known yet, by their sources' names. Blocking."""
-    sources = [FileSource(*key) for pool in setup.pools.values() for key in pool.lists if key not in known]
+    lists = [key for pool in setup.pools.values() for key in pool.lists]
+    if setup.fleet.list_path:
+        lists.append((setup.fleet.list_path, False))
+    sources = [FileSource(*key) for key in dict.fromkeys(lists) if key not in known]
     return {source.name: first_read(source) for source in sources}
 
 
-def door_status(door: Door | None) -> dict[str, Any]:
-    """What a pool's tenants have had, for operators; nothing where it has no door."""
-    if door is None:
-        return {}
-    return {name or "(others)": {
-        "weight": each.weight, "admitted": each.admitted, "refused": each.refused, "waiting": each.waiting,
-        "at_work": each.out, "work_s": round(each.work_done_us / 1e6, 3),
-        "work_ms": round(each.work_us / 1e3, 2), "wait_ms": round(each.waited_us / 1e3, 2)}
-        for name, each in door.shares.items()}
-
-
-def admission_status(admission: Admission | None) -> dict[str, Any]:
-    """How much is let in at once after a start or a gap; nothing where all may come in."""
-    if admission is None or admission.over:
-        return {}
-    return {"window": int(admission.window), "servers": admission.servers, "refused": admission.refused}
-
-
-def limiter_status(limiter: Limiter) -> dict[str, int]:
-    """What a limit has done since it was made, and its keys."""
-    return {"let_in": limiter.let_in, "over_rate": limiter.over_rate, "over_concurrent": limiter.over_at_once,
-            "keys": len(limiter.entries), "without_place": limiter.without_place}
-
-
 class Daemon:
     """One process's listeners and pools under the setup in force."""
 
@@ -139,9 +115,7 @@
         self.fronts: dict[str, OrdinaryFront] = {}
         self.control = ControlSocket(self, setup.control_socket)
         self.closing: list[OrdinaryFront] = []  # their addresses are configured no more
-        self.fleet = share.Fleet()
-        self.place = Place()  # among those that its list names
-        self.fleet_list = InstanceList("instances", self._fleet_listed)
+        self.instances = FleetKeeper(self._list_changed)
         self.hooks = HookLoader(clock_us)
         self.limiters: dict[str, Limiter] = {}
         self.reloading = asyncio.Lock()
@@ -208,7 +182,7 @@
             self.generation.plans,
             {name: (pool.max_sockets, pool.max_sockets_per_server) for name, pool in setup.pools.items()},
             self.fronts)
-        self._follow_fleet(setup.fleet)
+        self.instances.follow(setup.fleet, fresh)
         self._list_changed()
         self.recovery.follow()
         self.memory.follow(self.background)
@@ -227,8 +201,9 @@
             yield
 
     def _stood_still(self, gap_us: int) -> None:
+        fleet, slow_start = self.instances, self.generation.setup.fleet.slow_start
         for pool in self.pools.values():
-            pool.stood_still(self.fleet, self.place, self.generation.setup.fleet.slow_start)
+            pool.stood_still(fleet.fleet, fleet.place, slow_start)
         self.peers.stood_still(gap_us)
 
     def _rosters(self) -> Mapping[str, Roster]:
@@ -272,30 +247,6 @@
             limiter.counts = counts if settings.fleet_wide else None
             self.limiters[name] = limiter
 
-    def _follow_fleet(self, setup: operator.FleetSetup) -> None:
-        """Count the instances by their list, where there is one; limits.instances holds until it is read."""
-        another = self.fleet_list.follow(setup.list_path)
-        if not setup.list_path or another:
-            self.fleet, self.place = setup.fleet, Place()
-            if another and setup.list_path:
-                # before anything is sent: turns and parts go by it
-                found = self.fleet_list.first_read()
-                if found:
-                    self._count_fleet(found, setup.name)
-        else:
-            self.fleet = replace(setup.fleet, size=self.fleet.size)
-
-    def _fleet_listed(self, entries: tuple[Entry, ...]) -> None:
-        before = self.fleet
-        self._count_fleet(entries, self.generation.setup.fleet.name)
-        if self.fleet != before:
-            log.info("%d instances share the servers", self.fleet.size)
-            self._list_changed()
-
-    def _count_fleet(self, entries: tuple[Entry, ...], name: str) -> None:
-        self.place = place(name, [entry.id for entry in entries])
-        self.fleet = replace(self.fleet, size=self.place.size)
-
     def _roster(self, name: str) -> Roster:
         state = self.memory.state_of(name) or State(started=bool(self.generation.number))
         roster = Roster(name, self.host, state, partial(self._elsewhere, name), self._list_changed)
@@ -313,7 +264,7 @@
             before = pool.overdrawn
             # a reload is no start: this instance has its traffic, and would refuse some of it
             starts = self.generation.number == 1 and self.generation.setup.fleet.slow_start
-            pool.take_part(self.fleet, self.place, starts)
+            pool.take_part(self.instances.fleet, self.instances.place, starts)
             if pool.overdrawn and not before:
                 log.error("%s: %s", pool.config.name, pool.overdrawn)
         self.keeper.keep(lambda: {name: pool.roster.state for name, pool in self.pools.items()})
@@ -414,31 +365,10 @@
 
     def status(self) -> dict[str, Any]:
         """What is in force, for operators."""
-        pools = {}
-        for name, running in self.pools.items():
-            state = running.roster.state
-            used = {number: server.used for number, server in running.pool.balancer.servers.items()}
-            pools[name] = {
-                "generation": state.generation, "drained_by_hand": sorted(state.by_hand),
-                "held_back": sorted(state.held),
-                "problems": [*running.roster.loud(), *filter(None, [running.overdrawn])],
-                "share": {"connections": running.budget.connections,
-                          "connections_each": running.budget.connections_each,
-                          "dial_gap_us": running.budget.dial_gap_us,
-                          "servers": len(running.pool.serving)},
-                "admission": admission_status(running.pool.admission),
-                "fair": door_status(running.pool.door),
-                "sources": {layer.source: {"servers": len(layer.entries), "version": layer.version}
-                            for layer in state.layers},
-                "leaving": [member.entry.id for member, _ in state.leaving.values()],
-                "servers": [{"id": ident, "address": "{}:{}".format(*member.entry.address),
-                             "state": "draining" if member.entry.drain else "ready",
-                             "zone": member.entry.zone, "weight": member.entry.weight,
-                             "open": used.get(member.number, 0)}
-                            for ident, member in state.members.items()]}
         return {"recovery": self.recovery.status(),
-                "fleet": {"instances": self.fleet.size, "problem": self.fleet_list.problem},
-                "generation": self.generation.number, "file": self.generation.setup.path, "pools": pools,
+                "fleet": self.instances.status(),
+                "generation": self.generation.number, "file": self.generation.setup.path,
+                "pools": {name: pool_status(running) for name, running in self.pools.items()},
                 "connections": self.count(), "requests": len(self.host.requests),
                 "sockets": len(self.sockets.relays),
                 "hooks": self.hooks.status(),
@@ -459,7 +389,7 @@
         self.recovery.stop()
         for pool in self.pools.values():
             pool.roster.stop()
-        self.fleet_list.stop()
+        self.instances.stop()
         self.peers.stop()
         longest_us = max(kind.deadline_us for kind in self.generation.setup.classes)
         for front in fronts:
--- a/plovertrail/decisions/escrow.py
+++ b/plovertrail/decisions/escrow.py
@@ -40,7 +40,8 @@
 class Rules:
     """A budget, the same for all. `hold_us`: for how long a right is taken once it is spent, at the longest:
     a request's deadline, or the period of a budget by period. `drift`: by which part a clock may be wrong.
-    `slack_us`: from the moment of spending to the effect at the other end, at the longest."""
+    `slack_us`: from the moment of spending to the effect at the other end, at the longest. `former_lease_us`:
+    while a lease is made shorter, the one before, till no instance has it any more."""
 
     total: int
     slots: int
@@ -48,6 +49,7 @@
     hold_us: int
     drift: float = 0.001
     slack_us: int = 50_000
+    former_lease_us: int = 0
 
     def rights(self, slot: int) -> int:
         """Of one slot."""
@@ -58,10 +60,14 @@
         """How long a promise lasts for its holder, from when it asked."""
         return int(self.lease_us * (1.0 - self.drift)) - self.slack_us
 
+    def promised_us(self, lease_us: int) -> int:
+        """How long a promise of such a lease lasts for the elector, from when it promised."""
+        return int(lease_us * (1.0 + self.drift)) + 1
+
     @property
-    def promised_us(self) -> int:
-        """How long it lasts for the elector, from when it promised."""
-        return int(self.lease_us * (1.0 + self.drift)) + 1
+    def longest_us(self) -> int:
+        """How long any promise lasts for an elector, at the longest."""
+        return self.promised_us(max(self.lease_us, self.former_lease_us))
 
 
 # What goes between instances
@@ -69,10 +75,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """To an elector: promise me this slot, from now on."""
+    """To an elector: promise me this slot of so many, for such a lease, from now on."""
 
     slot: int
     number: int
+    slots: int
+    lease_us: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,20 +143,25 @@
     def __init__(self, rules: Rules, now_us: int) -> None:
         self.rules = rules
         # hazard: one that has restarted doesn't know what it has promised in its life before
-        self.quiet_until_us = now_us + rules.promised_us
+        self.quiet_until_us = now_us + rules.longest_us
         self.promises: dict[int, Promised] = {}
 
     def claimed(self, claim: Claim, who: Who, now_us: int) -> Promise:
-        """A claim has come: a promise, if the slot is nobody else's."""
-        if not 0 <= claim.slot < self.rules.slots:
+        """A claim has come: a promise, if the slot is nobody else's. Hazard: one who reckons with other slots
+        means other rights by its number, and one with a longer lease would outlast the promise."""
+        longest_us = max(self.rules.lease_us, self.rules.former_lease_us)
+        if (claim.slots != self.rules.slots or not 0 <= claim.slot < claim.slots
+                or not 0 < claim.lease_us <= longest_us):
             return Promise(claim.slot, claim.number, False)
         if now_us < self.quiet_until_us:
             return Promise(claim.slot, claim.number, False, wait_us=self.quiet_until_us - now_us)
         old = self.promises.get(claim.slot)
         if old is not None and old.holder != who and now_us < old.until_us:
             return Promise(claim.slot, claim.number, False, old.holder.name, old.until_us - now_us)
-        number = max(claim.number, old.number) if old is not None and old.holder == who else claim.number
-        self.promises[claim.slot] = Promised(who, number, now_us + self.rules.promised_us)
+        number, until_us = claim.number, now_us + self.rules.promised_us(claim.lease_us)
+        if old is not None and old.holder == who:
+            number, until_us = max(number, old.number), max(until_us, old.until_us)
+        self.promises[claim.slot] = Promised(who, number, until_us)
         return Promise(claim.slot, claim.number, True)
 
     def released(self, release: Release, who: Who) -> None:
@@ -158,11 +171,11 @@
             del self.promises[release.slot]
 
     def reconfigure(self, rules: Rules, now_us: int) -> None:
-        """Other rules. A longer lease is promised only once nothing of the shorter one's is in doubt."""
+        """Other rules; promises hold as they were given."""
         if rules.slots != self.rules.slots:
             # hazard: slots of the same numbers are other rights now
-            self.quiet_until_us = max(self.quiet_until_us,
-                                      now_us + max(rules.promised_us, self.rules.promised_us))
+            longest_us = max(rules.longest_us, self.rules.longest_us)
+            self.quiet_until_us = max(self.quiet_until_us, now_us + longest_us)
             self.promises.clear()
         self.rules = rules
 
@@ -177,10 +190,11 @@
 
     def free(self, now_us: int) -> int:
         """That are neither spent nor lent now. It may be below 0: a budget can shrink under what is out."""
-        self.busy = {serial: end_us for serial, end_us in self.busy.items() if end_us > now_us}
-        for loan, (_, until_us) in list(self.lent.items()):
-            if until_us <= now_us:
-                del self.lent[loan]
+        # those spent first end first, so none is looked at that is not over, but one
+        while self.busy and next(iter(self.busy.values())) <= now_us:
+            del self.busy[next(iter(self.busy))]
+        if self.lent:
+            self.lent = {loan: each for loan, each in self.lent.items() if each[1] > now_us}
         return self.rights - len(self.busy) - sum(count for count, _ in self.lent.values())
 
 
@@ -192,6 +206,7 @@
     asked: dict[int, int] = field(default_factory=dict)  # when each of the last claims went out, by number
     until_us: dict[str, int] = field(default_factory=dict)  # of each elector's promise
     held: bool = False
+    kept_us: int = 0  # while it is held: till when enough electors have promised it
     number: int = 0  # of the last claim
 
 
@@ -226,7 +241,7 @@
         self.slots: dict[int, Slot] = {}
         self.loans: dict[int, Loan] = {}
         self.pending: dict[int, tuple[str, int]] = {}  # what was asked of whom, and when
-        self.answers: dict[str, tuple[Who, Grant]] = {}  # the last one to each borrower
+        self.answers: dict[str, tuple[Who, Grant, int]] = {}  # the last one to each borrower, and when
         self.numbers = 0
         self.void = 0  # slots and loans that ended unused, or under a process that stood still
 
@@ -241,7 +256,7 @@
         it.asked[self.numbers] = now_us
         while len(it.asked) > MOST_ASKED:
             del it.asked[min(it.asked)]
-        return Claim(slot, self.numbers)
+        return Claim(slot, self.numbers, self.rules.slots, self.rules.lease_us)
 
     def promised(self, promise: Promise, elector: str, now_us: int) -> None:
         """An elector has answered. Hazard: counted from now, a promise that was long on its way would outlast
@@ -254,6 +269,7 @@
         if promise.given:
             it.until_us[elector] = max(it.until_us.get(elector, 0), asked_us + self.rules.held_us)
             it.held = it.held or self._until(it, first=True) > now_us
+            it.kept_us = self._until(it)
 
     def release(self, slot: int, now_us: int) -> Release | None:
         """What to send to all electors, if nothing of the slot is spent or lent; else it stays."""
@@ -279,16 +295,21 @@
         """Hazard: one whose promises ran out for a moment, in which another may have come by the slot, must
         not go on as if it had kept it when later promises come."""
         for it in self.slots.values():
-            if it.held and self._until(it) <= now_us:
-                it.held = False
-                it.until_us = {}
-                it.asked = {}
+            if it.held and it.kept_us <= now_us:
+                self._give_up(it)
                 self.void += 1
         for number, loan in list(self.loans.items()):
             if loan.until_us <= now_us:
                 del self.loans[number]
                 self.void += loan.lot.free(now_us) > 0
 
+    @staticmethod
+    def _give_up(it: Slot) -> None:
+        """It is held no more. What is spent or lent of it stays counted, should it be had again."""
+        it.held = False
+        it.until_us = {}
+        it.asked = {}
+
     def held(self, now_us: int) -> list[int]:
         """The slots that are held now."""
         self._lapse(now_us)
@@ -301,7 +322,7 @@
         self._lapse(now_us)
         least_us = now_us + self.rules.hold_us
         return (sum(max(0, it.lot.free(now_us)) for it in self.slots.values()
-                    if it.held and self._until(it) >= least_us)
+                    if it.held and it.kept_us >= least_us)
                 + sum(max(0, loan.lot.free(now_us)) for loan in self.loans.values()
                       if loan.until_us >= least_us))
 
@@ -317,15 +338,21 @@
         it was wanted for may not be done. To be asked at the very moment of doing it."""
         self._lapse(now_us)
         end_us = now_us + self.rules.hold_us
-        found: list[tuple[int, bool, int, Lot]] = [
-            (loan.until_us, True, number, loan.lot) for number, loan in self.loans.items()]
-        found += [(self._until(it), False, number, it.lot) for number, it in self.slots.items() if it.held]
-        for until_us, loan, place, lot in sorted(found, key=lambda each: each[:3]):
-            if until_us >= end_us and lot.free(now_us) > 0:
-                self.numbers += 1
-                lot.busy[self.numbers] = end_us
-                return Ticket(loan, place, self.numbers)
-        return None
+        best: tuple[int, bool, int, Lot] | None = None
+        for number, loan in self.loans.items():
+            if (loan.until_us >= end_us and (best is None or loan.until_us < best[0])
+                    and loan.lot.free(now_us) > 0):
+                best = loan.until_us, True, number, loan.lot
+        for number, it in self.slots.items():
+            if (it.held and it.kept_us >= end_us and (best is None or it.kept_us < best[0])
+                    and it.lot.free(now_us) > 0):
+                best = it.kept_us, False, number, it.lot
+        if best is None:
+            return None
+        _, borrowed, place, lot = best
+        self.numbers += 1
+        lot.busy[self.numbers] = end_us
+        return Ticket(borrowed, place, self.numbers)
 
     def done(self, ticket: Ticket) -> None:
         """What a right was spent for is known to be over. Not for budgets by period, where time alone ends
@@ -352,13 +379,13 @@
         known = self.answers.get(who.name)
         if known is not None and known[0] == who and ask.number <= known[1].number:
             return known[1] if ask.number == known[1].number else None
-        if known is None and len(self.answers) >= MOST_LEASES:
+        if known is None and len(self.answers) >= MOST_LEASES and not self._forget_answers(now_us):
             return None
         grant = Grant(ask.number, 0, 0)
         best: tuple[int, Lot] | None = None
         for it in self.slots.values():
             # never of what is borrowed: its time is another's to give
-            until_us = self._until(it) if it.held else 0
+            until_us = it.kept_us if it.held else 0
             free = it.lot.free(now_us)
             if free > 0 and until_us > now_us + self.rules.hold_us and (best is None or until_us > best[0]):
                 best = until_us, it.lot
@@ -368,9 +395,16 @@
             for_us = int((until_us - now_us) * (1.0 - self.rules.drift))
             lot.lent[who, ask.number] = count, now_us + int(for_us * (1.0 + self.rules.drift)) + 1
             grant = Grant(ask.number, count, for_us)
-        self.answers[who.name] = who, grant
+        self.answers[who.name] = who, grant, now_us
         return grant
 
+    def _forget_answers(self, now_us: int) -> bool:
+        """Whether there is room for a further borrower. Hazard: an answer that is forgotten while its loan
+        may still be taken up would be another loan of its number, and count as the smaller of the two."""
+        oldest_us = now_us - self.rules.longest_us
+        self.answers = {name: each for name, each in self.answers.items() if each[2] > oldest_us}
+        return len(self.answers) < MOST_LEASES
+
     def granted(self, grant: Grant, lender: str, now_us: int) -> bool:
         """A loan has come; whether it is one. Hazard: the same one twice would be twice the rights."""
         asked = self.pending.pop(grant.number, None)
@@ -407,12 +441,17 @@
 
     def reconfigure(self, rules: Rules, electorates: Sequence[Sequence[str]]) -> None:
         """Another budget: a smaller one holds for what is spent from now on; what is out ends by itself. With
-        other slots or electors what is held is given up, and claimed anew."""
+        other electors what is held is claimed anew. With other slots all is forgotten: electors promise none
+        of these before whatever is out is over."""
         electors = tuple(tuple(dict.fromkeys(group)) for group in electorates if group)
-        if rules.slots != self.rules.slots or electors != self.electorates:
+        if rules.slots != self.rules.slots:
             self.slots, self.pending = {}, {}
-            self.electorates = electors
-            self.electors = tuple(dict.fromkeys(name for group in electors for name in group))
+        elif electors != self.electorates:
+            # hazard: some electors are the same, and would promise at once what is still spent or lent
+            for it in self.slots.values():
+                self._give_up(it)
+        self.electorates = electors
+        self.electors = tuple(dict.fromkeys(name for group in electors for name in group))
         self.rules = rules
         for number, it in self.slots.items():
             it.lot.rights = rules.rights(number)
--- a/plovertrail/decisions/escrow_plan.py
+++ b/plovertrail/decisions/escrow_plan.py
@@ -24,6 +24,7 @@
     Release,
     Return,
     Rules,
+    Ticket,
     Who,
     rank,
 )
@@ -40,7 +41,8 @@
 POOR_PART = 60  # of the lease: who had nothing to lend is not asked for so long
 MOST_CLAIMS = 2  # slots that are claimed at a time, besides those that are kept
 MOST_ASKS = 6  # loans that are asked for at a time
-PATIENCE_PART = 20  # of the lease, for an answer
+PATIENCE_PART = 20  # of the lease, for electors' answers,
+ASK_AGAIN_PART = 80  # and for a lender's
 MOST_TRIES = 3  # times that patience, before a slot that not enough electors have promised is given up
 RELEASES = 3  # times that a release, or the return of a loan, goes out
 SHORT_US = 5_000  # between two looks while it is short
@@ -54,14 +56,6 @@
     message: Message
 
 
-@dataclass(slots=True)
-class Taken:
-    """A slot that another has, as an elector told."""
-
-    holder: str
-    until_us: int
-
-
 @dataclass(slots=True)
 class Asked:
     """A loan that is asked for."""
@@ -87,7 +81,7 @@
         self.refused = 0.0  # for want of a right, since the last look
         self.renewed: dict[int, int] = {}  # when each slot was last claimed
         self.trying: dict[int, int] = {}  # slots that are claimed and not held yet, since when
-        self.taken: dict[int, Taken] = {}
+        self.taken: dict[int, int] = {}  # slots that others have, as electors told, and till when
         self.order: list[int] = []  # in which slots are claimed
         self.asked: dict[int, Asked] = {}  # loans asked for
         self.returning: dict[int, tuple[Out, int]] = {}  # loans that went back, told again, and how often
@@ -105,7 +99,7 @@
 
     # Use
 
-    def spend(self, now_us: int) -> object | None:
+    def spend(self, now_us: int) -> Ticket | None:
         """A right, to be told when it is over; None: there is none."""
         ticket = self.holder.spend(now_us)
         if ticket is None:
@@ -167,10 +161,9 @@
         return out
 
     def _expire(self, now_us: int) -> None:
-        patience_us = self.rules.lease_us // PATIENCE_PART
-        self.taken = {slot: each for slot, each in self.taken.items() if each.until_us > now_us}
+        self.taken = {slot: until_us for slot, until_us in self.taken.items() if until_us > now_us}
         for number, each in list(self.asked.items()):
-            if now_us - each.sent_us > patience_us // 4 and each.tries >= MOST_TRIES:
+            if now_us - each.sent_us > self.rules.lease_us // ASK_AGAIN_PART and each.tries >= MOST_TRIES:
                 del self.asked[number]
         self.poor = {name: until_us for name, until_us in self.poor.items() if until_us > now_us}
 
@@ -227,7 +220,7 @@
             return []
         # for a random time, or those who were in each other's way would be so again
         wait_us = int(self.rules.lease_us / PATIENCE_PART * (1.0 + 3.0 * self.rng.random()))
-        self.taken.setdefault(slot, Taken("", now_us + wait_us))
+        self.taken.setdefault(slot, now_us + wait_us)
         return self._released(slot, release)
 
     def _released(self, slot: int, release: Release) -> list[Out]:
@@ -240,7 +233,7 @@
         again under its number it is the same one."""
         out: list[Out] = []
         for each in self.asked.values():
-            if each.tries < MOST_TRIES and now_us - each.sent_us > self.rules.lease_us // PATIENCE_PART // 4:
+            if each.tries < MOST_TRIES and now_us - each.sent_us > self.rules.lease_us // ASK_AGAIN_PART:
                 each.sent_us, each.tries = now_us, each.tries + 1
                 out.append(Out(each.name, each.ask))
         for number, (back, left) in list(self.returning.items()):
@@ -295,7 +288,7 @@
         if isinstance(message, Promise):
             self.holder.promised(message, who.name, now_us)
             if not message.given and message.holder != self.holder.me.name:
-                self.taken[message.slot] = Taken(message.holder, now_us + message.wait_us)
+                self.taken[message.slot] = now_us + message.wait_us
                 if message.slot in self.trying and message.holder:
                     return self._lost(message.slot, now_us)
         elif isinstance(message, Grant):
--- a/plovertrail/decisions/share.py
+++ b/plovertrail/decisions/share.py
@@ -127,11 +127,15 @@
     def took(self, now_us: int) -> None:
         self.spent_us = max(self.spent_us, now_us) + self.gap_us
 
-    def promise_us(self, now_us: int) -> int:
-        """When one that is refused for want of a turn should come back: each is told a turn of its own.
-        Hazard: all told of the next one would return together, and but one of them find it."""
-        self.promised_us = max(self.promised_us + self.gap_us, self.next_us, now_us)
-        return self.promised_us
+    def promise_us(self, now_us: int, longest_us: int) -> int:
+        """When one that is refused for want of a turn should come back: each is told a turn of its own,
+        within `longest_us` if one comes so soon. Hazard: all told of the next one would return together, and
+        but one of them find it; told of ever later ones they would be kept away while turns lapse."""
+        at_us = max(self.promised_us + self.gap_us, self.next_us, now_us)
+        if at_us > now_us + longest_us:  # all turns of that time have been told once
+            at_us = max(self.next_us, now_us)
+        self.promised_us = at_us
+        return at_us
 
     def stood_still(self, now_us: int, part: float) -> None:
         """The process did nothing for a while, so its turns have piled up. Hazard: those of a whole fleet on
--- a/plovertrail/exchange.py
+++ b/plovertrail/exchange.py
@@ -130,9 +130,9 @@
     def next_dial_us(self) -> int:
         """When a further connection may be made; 0 = at once."""
 
-    def promised_dial_us(self) -> int:
+    def promised_dial_us(self, longest_us: int) -> int:
         """When one that was refused for want of a further connection should come back, each at a time of its
-        own; 0 = there is no such want."""
+        own, within so long if it can; 0 = there is no such want."""
 
     def close_idle(self, upstream: int) -> None:
         """Close the idle connections to an upstream."""
--- /dev/null
+++ b/plovertrail/fleet_keeper.py
@@ -0,0 +1,60 @@
+"""Who this instance is among those that share the servers: how many there are, and its place among them."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+from typing import Any
+
+from plovertrail.config.operator import FleetSetup
+from plovertrail.decisions.membership import Candidate, Entry
+from plovertrail.decisions.share import Fleet
+from plovertrail.decisions.turns import Place, place
+from plovertrail.roster import FirstRead
+from plovertrail.sources.files import FileSource
+from plovertrail.sources.instances import InstanceList
+
+log = logging.getLogger(__name__)
+
+
+class FleetKeeper:
+    """`changed` is called when their number is another one."""
+
+    def __init__(self, changed: Callable[[], None]) -> None:
+        self.changed = changed
+        self.fleet = Fleet()
+        self.place = Place()  # among those that the list names
+        self.name = ""
+        self.list = InstanceList("instances", self._listed)
+
+    def follow(self, setup: FleetSetup, fresh: Mapping[str, FirstRead]) -> None:
+        """Count the instances by their list, where there is one; limits.instances holds until it is read.
+        `fresh` has what another list holds, as turns and parts go by it before anything is sent."""
+        self.name = setup.name
+        another = self.list.follow(setup.list_path)
+        if setup.list_path and not another:
+            self.fleet = replace(setup.fleet, size=self.fleet.size)
+            return
+        self.fleet, self.place = setup.fleet, Place()
+        found = fresh.get(FileSource(setup.list_path, False).name)
+        if isinstance(found, Candidate) and found.entries:
+            self._count(found.entries)
+
+    def _listed(self, entries: tuple[Entry, ...]) -> None:
+        before = self.fleet
+        self._count(entries)
+        if self.fleet != before:
+            log.info("%d instances share the servers", self.fleet.size)
+            self.changed()
+
+    def _count(self, entries: tuple[Entry, ...]) -> None:
+        self.place = place(self.name, [entry.id for entry in entries])
+        self.fleet = replace(self.fleet, size=self.place.size)
+
+    def status(self) -> dict[str, Any]:
+        """For operators: the number that is reckoned with, and what is wrong with the list."""
+        return {"instances": self.fleet.size, "problem": self.list.problem}
+
+    def stop(self) -> None:
+        self.list.stop()
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -617,7 +617,7 @@
         if not action.retry_after_us:
             return 0
         most_us = pool.settings.max_retry_after_us
-        return max(action.retry_after_us, min(most_us, pool.upstreams.promised_dial_us() - clock_us()))
+        return max(action.retry_after_us, min(most_us, pool.upstreams.promised_dial_us(most_us) - clock_us()))
 
     def _answer(self, ident: int, answer: Answer) -> None:
         """The one place of final answers."""
--- a/plovertrail/lab/clients.py
+++ b/plovertrail/lab/clients.py
@@ -40,7 +40,6 @@
         self.sent: Counter[int] = Counter()  # all tries
         self.served: Counter[int] = Counter()
         self.made: Counter[int] = Counter()  # first tries that were served in the end, by when they came
-        self.answers: Counter[int] = Counter()  # by when they came
         self.late = self.given_up = 0
         self.ends_us = 0
 
@@ -64,8 +63,13 @@
     def _bin(self) -> int:
         return self.clock.play_us // BIN_US
 
-    def _try(self, number: int, first: int) -> None:
-        instance = self.rng.choice(self.instances)
+    def ask(self, instance: Instance) -> None:
+        """One first try now, at this instance."""
+        self.came[self._bin] += 1
+        self._try(1, self._bin, instance)
+
+    def _try(self, number: int, first: int, instance: Instance | None = None) -> None:
+        instance = instance or self.rng.choice(self.instances)
         self.idents += 1
         self.sent[self._bin] += 1
         answer = partial(self._answer, number, first, self._bin, self.clock.now_us)
@@ -79,7 +83,6 @@
         if served:
             self.served[sent] += 1
             self.made[first] += 1
-            self.answers[self._bin] += 1
             return
         if number >= self.plan.tries:
             self.given_up += 1
--- a/plovertrail/lab/fleet.py
+++ b/plovertrail/lab/fleet.py
@@ -11,7 +11,7 @@
 from plovertrail.decisions import share
 from plovertrail.decisions.turns import Place
 from plovertrail.lab.clients import BIN_US, ClientPlan, Clients
-from plovertrail.lab.clock import SECOND_US, Clock
+from plovertrail.lab.clock import SECOND_US, START_US, Clock
 from plovertrail.lab.instances import Around, Instance
 from plovertrail.lab.servers import Server, ServerPlan
 
@@ -20,7 +20,8 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetPlan:
-    """`admits` and `by_list`: the parts of coming back that a play may do without, to be compared."""
+    """`admits` and `by_list`: the parts of coming back that a play may do without, to be compared.
+    `told_size`: the size of the fleet that instances are told; 0 = the true one."""
 
     instances: int = 24
     servers: int = 8
@@ -31,6 +32,10 @@
     network_us: int = 250
     admits: bool = True
     by_list: bool = True
+    told_size: int = 0
+    max_attempts: int = 3
+    max_retry_after_us: int = 4 * SECOND_US
+    overload_factor: float = 1.0  # a cold server falls over at this multiple of what it can do
 
 
 class Fleet:
@@ -41,16 +46,17 @@
         self.rng = random.Random(seed)
         self.clock = Clock()
         kind = api.RequestClass("read", plan.aim_us, plan.clients.deadline_us, late_worth=0.3)
+        size = plan.told_size or plan.instances
         settings = api.Settings(
-            classes=[kind], instances=plan.instances, max_attempts=3, max_retry_after_us=4 * SECOND_US,
-            cold_share=plan.server.cold_share, warm_up_us=plan.server.warm_up_us)
+            classes=[kind], instances=size, max_attempts=plan.max_attempts,
+            max_retry_after_us=plan.max_retry_after_us, cold_share=plan.server.cold_share,
+            warm_up_us=plan.server.warm_up_us, overload_factor=plan.overload_factor)
         self.servers = {number: Server(number, plan.server, self.clock, self._random())
                         for number in range(1, plan.servers + 1)}
         around = Around(self.clock, settings, self.servers, plan.bounds, plan.network_us, plan.admits,
                         plan.by_list)
         self.instances = [
-            Instance(around, share.Fleet(plan.instances, number), Place(number, plan.instances),
-                     self._random())
+            Instance(around, share.Fleet(size, number), Place(number, plan.instances), self._random())
             for number in range(plan.instances)]
         for instance in self.instances:
             instance.start(with_state=False)
@@ -72,8 +78,31 @@
         for number in instances:
             self.instances[number].start(with_state)
 
+    def tell_all(self, entry: api.Upstream) -> None:
+        """A change of the list, to every instance at one moment."""
+        for instance in self.instances:
+            instance.changed(entry)
+
+    def restart_server(self, number: int) -> None:
+        """A server goes; it is back, cold, at once."""
+        self.tell_all(api.Upstream(number, api.UpstreamState.GONE))
+        self.servers[number].started_us = self.clock.now_us
+        self.tell_all(api.Upstream(number, started_us=self.clock.now_us))
+
     # What it comes to
 
+    def cold_of_bound(self, number: int, capacity_per_s: float) -> float:
+        """The highest share, over two seconds, of what pushes a cold server over that does so much when it is
+        warm."""
+        server = self.servers[number]
+        begins = (server.started_us - START_US) // SECOND_US
+        shares = []
+        for second in range(begins, begins + server.plan.warm_up_us // SECOND_US):
+            at_us = START_US + second * SECOND_US
+            bound = 2 * self.plan.overload_factor * server.warmth_at(at_us) * capacity_per_s
+            shares.append((server.requests[second] + server.requests[second + 1]) / bound)
+        return max(shares)
+
     def served_part(self, begins: int, ends: int) -> float:
         """Of the tries that were sent in these bins."""
         sent = sum(self.clients.sent[each] for each in range(begins, ends))
--- a/plovertrail/lab/instances.py
+++ b/plovertrail/lab/instances.py
@@ -58,6 +58,7 @@
         self.kept_us = 0
         self.idle: dict[int, int] = {}
         self.open: Counter[int] = Counter()
+        self.met: set[int] = set()  # servers that it has sent something
         self.owed: dict[int, Reply] = {}
         self.attempts: dict[int, list[Out]] = {}
 
@@ -67,7 +68,7 @@
         around, now_us = self.around, self.around.clock.now_us
         self.life += 1
         self.up = True
-        self.idle, self.open = {}, Counter()
+        self.idle, self.open, self.met = {}, Counter(), set()
         self.owed, self.attempts = {}, {}
         self.balancer = Balancer(around.settings, self.rng.getrandbits(32), now_us)
         self.subset = share.Subset(self.fleet.number, around.bounds.servers or len(around.servers))
@@ -109,6 +110,14 @@
         if mine:
             self.tell(api.UpstreamsUpdated(kind, mine, part=True))
 
+    def changed(self, entry: api.Upstream) -> None:
+        """One server has come, or gone and its connections with it."""
+        self.listed(api.ListKind.DELTA, [entry])
+        if entry.state is not api.UpstreamState.READY:
+            self.met.discard(entry.id)
+            for _ in range(self.idle.pop(entry.id, 0)):
+                self.close(entry.id)
+
     # Requests
 
     def ask(self, ident: int, due_us: int, reply: Reply) -> None:
@@ -144,7 +153,8 @@
             elif isinstance(action, api.Refuse | api.Fail):
                 after_us = action.retry_after_us if isinstance(action, api.Refuse) else 0
                 if after_us and self.dials is not None:
-                    after_us = max(after_us, self.dials.promise_us(now_us) - now_us)
+                    longest_us = self.around.settings.max_retry_after_us
+                    after_us = max(after_us, self.dials.promise_us(now_us, longest_us) - now_us)
                 self.answered(action.request, False, after_us)
                 wider = self.subset.short(now_us)
                 if wider:
@@ -189,6 +199,9 @@
 
     def came(self, life: int, out: Out) -> None:
         """The request is at its server."""
+        if life == self.life and out.server.number not in self.met:
+            self.met.add(out.server.number)
+            out.server.first_contacts[out.server.second] += 1
         took_us = out.server.answers_us()
         outcome = api.Outcome.OK
         if took_us is None:
--- a/plovertrail/lab/servers.py
+++ b/plovertrail/lab/servers.py
@@ -41,6 +41,7 @@
     requests: Counter[int] = field(default_factory=Counter)
     dials: Counter[int] = field(default_factory=Counter)
     open_most: Counter[int] = field(default_factory=Counter)
+    first_contacts: Counter[int] = field(default_factory=Counter)  # by instances that hadn't sent it anything
     in_work_most: int = 0
 
     def __post_init__(self) -> None:
@@ -50,12 +51,11 @@
     def second(self) -> int:
         return (self.clock.now_us - START_US) // SECOND_US
 
-    @property
-    def warmth(self) -> float:
+    def warmth_at(self, at_us: int) -> float:
         """Of what it can do, from the cold share to 1."""
         if not self.started_us:
             return 1.0
-        age = (self.clock.now_us - self.started_us) / self.plan.warm_up_us
+        age = max(0, at_us - self.started_us) / self.plan.warm_up_us
         return min(1.0, self.plan.cold_share + (1.0 - self.plan.cold_share) * age)
 
     def dialled(self) -> bool:
@@ -82,7 +82,7 @@
         self.in_work_most = max(self.in_work_most, waiting)
         if self.plan.longest_queue and waiting >= self.plan.longest_queue + self.plan.slots:
             return None
-        took = self.rng.gammavariate(SPREAD, self.plan.answer_us / SPREAD) / self.warmth
+        took = self.rng.gammavariate(SPREAD, self.plan.answer_us / SPREAD) / self.warmth_at(now_us)
         took *= min(MOST_THRASH, 1.0 + self.plan.thrash * max(0, waiting - self.plan.slots))
         ends_us = max(now_us, heapq.heappop(self.free)) + int(took)
         heapq.heappush(self.free, ends_us)
--- a/plovertrail/rehearsal/servers.py
+++ b/plovertrail/rehearsal/servers.py
@@ -105,7 +105,7 @@
     def next_dial_us(self) -> int:
         return 0
 
-    def promised_dial_us(self) -> int:
+    def promised_dial_us(self, longest_us: int) -> int:
         return 0
 
     def close_idle(self, upstream: int) -> None:
--- a/plovertrail/sources/instances.py
+++ b/plovertrail/sources/instances.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable
 
 from plovertrail.decisions.membership import Candidate, Entry
 from plovertrail.sources.files import FileSource, FileWatch
-from plovertrail.sources.lists import BadList
 
 log = logging.getLogger(__name__)
 
@@ -34,16 +32,6 @@
             self.watch = FileWatch(FileSource(path, False), self._taken, self._refused)
         return True
 
-    def first_read(self) -> tuple[Entry, ...]:
-        """What the file holds at this moment, settled or not; nobody where it can't be used, as the watch
-        tells soon. Blocking."""
-        assert self.watch is not None
-        try:
-            found = FileSource(self.watch.source.path, False).read(time.monotonic(), settle=False)[1]
-        except (BadList, OSError):
-            return ()
-        return found.entries if found is not None else ()
-
     def stop(self) -> None:
         if self.watch is not None:
             self.watch.stop()
--- /dev/null
+++ b/plovertrail/status.py
@@ -0,0 +1,58 @@
+"""What operators are told of a pool and of a limit."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from plovertrail.decisions.admission import Admission
+from plovertrail.decisions.fairness import Door
+from plovertrail.decisions.limits import Limiter
+from plovertrail.running_pool import RunningPool
+
+
+def pool_status(running: RunningPool) -> dict[str, Any]:
+    """One pool: its lists, its part of the servers, its tenants and its servers."""
+    state = running.roster.state
+    used = {number: server.used for number, server in running.pool.balancer.servers.items()}
+    return {
+        "generation": state.generation, "drained_by_hand": sorted(state.by_hand),
+        "held_back": sorted(state.held),
+        "problems": [*running.roster.loud(), *filter(None, [running.overdrawn])],
+        "share": {"connections": running.budget.connections,
+                  "connections_each": running.budget.connections_each,
+                  "dial_gap_us": running.budget.dial_gap_us,
+                  "servers": len(running.pool.serving)},
+        "admission": admission_status(running.pool.admission),
+        "fair": door_status(running.pool.door),
+        "sources": {layer.source: {"servers": len(layer.entries), "version": layer.version}
+                    for layer in state.layers},
+        "leaving": [member.entry.id for member, _ in state.leaving.values()],
+        "servers": [{"id": ident, "address": "{}:{}".format(*member.entry.address),
+                     "state": "draining" if member.entry.drain else "ready",
+                     "zone": member.entry.zone, "weight": member.entry.weight,
+                     "open": used.get(member.number, 0)}
+                    for ident, member in state.members.items()]}
+
+
+def admission_status(admission: Admission | None) -> dict[str, Any]:
+    """How much is let in at once after a start or a gap; nothing where all may come in."""
+    if admission is None or admission.over:
+        return {}
+    return {"window": int(admission.window), "servers": admission.servers, "refused": admission.refused}
+
+
+def door_status(door: Door | None) -> dict[str, Any]:
+    """What a pool's tenants have had; nothing where it has no door."""
+    if door is None:
+        return {}
+    return {name or "(others)": {
+        "weight": each.weight, "admitted": each.admitted, "refused": each.refused, "waiting": each.waiting,
+        "at_work": each.out, "work_s": round(each.work_done_us / 1e6, 3),
+        "work_ms": round(each.work_us / 1e3, 2), "wait_ms": round(each.waited_us / 1e3, 2)}
+        for name, each in door.shares.items()}
+
+
+def limiter_status(limiter: Limiter) -> dict[str, int]:
+    """What a limit has done since it was made, and its keys."""
+    return {"let_in": limiter.let_in, "over_rate": limiter.over_rate, "over_concurrent": limiter.over_at_once,
+            "keys": len(limiter.entries), "without_place": limiter.without_place}
--- a/plovertrail/upstreams/connections.py
+++ b/plovertrail/upstreams/connections.py
@@ -419,12 +419,13 @@
     def next_dial_us(self) -> int:
         return self.dial_turns.next_us if self.dial_turns is not None else 0
 
-    def promised_dial_us(self) -> int:
-        """When one that is refused for want of a turn to dial should come back; 0: there is no such want."""
+    def promised_dial_us(self, longest_us: int) -> int:
+        """When one that is refused for want of a turn to dial should come back, within so long if it can; 0:
+        there is no such want."""
         now_us = clock_us()
         if self.dial_turns is None or self.dial_turns.may(now_us):
             return 0
-        return self.dial_turns.promise_us(now_us)
+        return self.dial_turns.promise_us(now_us, longest_us)
 
     async def dial(self, upstream: int, address: Address, attempt: Attempt) -> None:
         self.coming[upstream] -= 1
--- a/standins/cluster/play.py
+++ b/standins/cluster/play.py
@@ -14,7 +14,7 @@
 from standins.cluster.judge import Verdict, judge
 from standins.cluster.load import Load
 from standins.cluster.relay import Switch, TcpRelay, Way
-from standins.cluster.schedule import OF_LOAD, OF_PROCESS, OF_SERVER, OF_TALK, Event, Schedule
+from standins.cluster.schedule import OF_PROCESS, OF_SERVER, OF_TALK, Event, Schedule
 from standins.cluster.servers import ServerList, Shop
 
 
@@ -55,8 +55,6 @@
                 each.write()
         elif event.do in OF_TALK:
             self.talk(event)
-        elif event.do in OF_LOAD:
-            self.load.per_s = event.per_s
         else:
             self.fault(event)
         self.told.append(f"{event.at:.2f} s  {event.do} instances {list(event.instances)} "
--- a/standins/cluster/schedule.py
+++ b/standins/cluster/schedule.py
@@ -30,7 +30,6 @@
 OF_PROCESS = ("stop", "wake", "kill", "start", "lose_state", "keep_state", "old_state", "fill_disk",
               "free_disk", "hide_list", "show_list")  # methods of an instance
 OF_SERVER = ("drain", "undrain", "silent", "failing", "well", "replace")
-OF_LOAD = {"load": ("per_s",)}
 OTHERS = "others"  # of the talk between instances: that between `instances` and these
 OF_TALK = {"split": (OTHERS, LINK), "heal": (OTHERS, LINK),
            "blur": (OTHERS, LINK, "loss", "repeats", "reordered", "seconds", "jitter")}
@@ -38,7 +37,7 @@
            "slow": (LINK, "bytes_per_s"), "reset": (), "refuse": (), "accept": ()}
 KEYS = (dict.fromkeys(OF_PROCESS, (INSTANCES,)) | dict.fromkeys(OF_SERVER, (SERVERS,))
         | {do: (INSTANCES, SERVERS, *more) for do, more in OF_LINK.items()}
-        | {do: (INSTANCES, *more) for do, more in OF_TALK.items()} | OF_LOAD)
+        | {do: (INSTANCES, *more) for do, more in OF_TALK.items()})
 WAYS = ("both", "forth", "back")
 
 
@@ -62,7 +61,6 @@
     loss: float = 0.0  # share of datagrams, as the next two
     repeats: float = 0.0
     reordered: float = 0.0
-    per_s: float = 0.0  # from now on
 
 
 @dataclass(frozen=True)
@@ -123,8 +121,7 @@
         members(raw.get("servers", "all"), f"{where}.servers", servers) if SERVERS in KEYS[do] else (),
         members(raw.get("others", "all"), f"{where}.others", instances) if OTHERS in KEYS[do] else (),
         link, *(number(raw.get(key, 0.0), f"{where}.{key}")
-                for key in ("seconds", "jitter", "bytes_per_s", "loss", "repeats", "reordered",
-                              "per_s")))
+                for key in ("seconds", "jitter", "bytes_per_s", "loss", "repeats", "reordered")))
 
 
 def checked(raw: dict[str, Any]) -> Schedule:
--- a/standins/escrow_model.py
+++ b/standins/escrow_model.py
@@ -170,7 +170,6 @@
         ticket = member.planner.spend(member.now())
         if ticket is None:
             return
-        assert isinstance(ticket, Ticket)
         self.let_in += 1
         self.in_use += 1
         self.worst = max(self.worst, self.in_use)
--- a/standins/fleet/instances.py
+++ b/standins/fleet/instances.py
@@ -30,7 +30,7 @@
     """One instance, as the platform's program builds it, with a part of its servers."""
 
     def __init__(self, plan: Plan, number: int, discovery_port: int, known: Any) -> None:
-        self.fleet = share.Fleet(plan.told_size or plan.instances, number)
+        self.fleet = share.Fleet(plan.instances, number)
         self.bounds = share.Bounds(plan.servers_each, plan.connections, plan.dials_per_s)
         self.rng = random.Random(number)
         settings = api.Settings(
--- a/standins/fleet/plan.py
+++ b/standins/fleet/plan.py
@@ -28,7 +28,6 @@
     restart_at: float = -1.0  # a server goes, and comes back cold; negative: never
     leave_at: float = -1.0  # another one leaves for good
     watches_end_at: float = -1.0  # discovery restarts: all watches end at one moment
-    told_size: int = 0  # the size of the fleet that instances are told; 0 = the true one
     idle_s: float = 60.0
 
     def dump(self) -> str:
--- a/tests/decisions/test_escrow.py
+++ b/tests/decisions/test_escrow.py
@@ -5,6 +5,7 @@
 import pytest
 
 from plovertrail.decisions.escrow import (
+    MOST_LEASES,
     Ask,
     Claim,
     Elector,
@@ -32,10 +33,14 @@
 
 def take(it: Holder, slot: int, now_us: int, electors: tuple[str, ...] = ELECTORS, late_us: int = 0) -> Claim:
     """It claims a slot, and these promise it."""
-    claim = it.claim(slot, now_us)
+    claimed = it.claim(slot, now_us)
     for elector in electors:
-        it.promised(Promise(slot, claim.number, True), elector, now_us + late_us)
-    return claim
+        it.promised(Promise(slot, claimed.number, True), elector, now_us + late_us)
+    return claimed
+
+
+def claim(slot: int, number: int, rules: Rules = RULES) -> Claim:
+    return Claim(slot, number, rules.slots, rules.lease_us)
 
 
 # All histories
@@ -75,7 +80,7 @@
     def _lapse(self, now_us: int) -> None:
         for it in self.slots.values():
             if it.held:
-                it.until_us = dict.fromkeys(self.electors, now_us + 10 * self.rules.lease_us)
+                it.kept_us = now_us + 10 * self.rules.lease_us
 
 
 class LendsAndSpends(Holder):
@@ -150,9 +155,9 @@
 def test_what_has_lapsed_is_not_kept_by_promises_that_come_later() -> None:
     it = Holder(RULES, ME, [("w", "x", "y", "z")])
     take(it, 0, 0, ("w", "x", "y"))
-    claim = it.claim(0, 5 * S)
-    it.promised(Promise(0, claim.number, True), "w", 7 * S)
-    it.promised(Promise(0, claim.number, True), "x", 7 * S)
+    late = it.claim(0, 5 * S)
+    it.promised(Promise(0, late.number, True), "w", 7 * S)
+    it.promised(Promise(0, late.number, True), "x", 7 * S)
     assert it.spare(7 * S) == 0, "in between it may have been another's"
 
 
@@ -185,45 +190,45 @@
 
 def test_answers_to_claims_that_were_not_made_or_were_given_up_count_nothing() -> None:
     it = holder()
-    claim = it.claim(0, 0)
-    it.promised(Promise(0, claim.number + 1, True), "x", 0)
-    it.promised(Promise(1, claim.number, True), "x", 0)
-    it.promised(Promise(0, claim.number, True), "stranger", 0)
-    it.promised(Promise(0, claim.number, False, "b", S), "y", 0)
-    it.promised(Promise(0, claim.number, True), "z", 0)
+    made = it.claim(0, 0)
+    it.promised(Promise(0, made.number + 1, True), "x", 0)
+    it.promised(Promise(1, made.number, True), "x", 0)
+    it.promised(Promise(0, made.number, True), "stranger", 0)
+    it.promised(Promise(0, made.number, False, "b", S), "y", 0)
+    it.promised(Promise(0, made.number, True), "z", 0)
     assert it.spare(0) == 0
     it.release(0, 0)
     for elector in ELECTORS:
-        it.promised(Promise(0, claim.number, True), elector, 0)
+        it.promised(Promise(0, made.number, True), elector, 0)
     assert it.spare(0) == 0
 
 
 def test_a_release_that_a_later_claim_overtook_voids_nothing() -> None:
     elector = Elector(RULES, -100 * S)
-    assert elector.claimed(Claim(0, 1), ME, 0).given
-    assert elector.claimed(Claim(0, 2), ME, S).given
+    assert elector.claimed(claim(0, 1), ME, 0).given
+    assert elector.claimed(claim(0, 2), ME, S).given
     elector.released(Release(0, 1), ME)
-    told = elector.claimed(Claim(0, 1), OTHER, S)
-    assert not told.given and told.holder == "a" and told.wait_us == RULES.promised_us
+    told = elector.claimed(claim(0, 1), OTHER, S)
+    assert not told.given and told.holder == "a" and told.wait_us == RULES.longest_us
     elector.released(Release(0, 2), Who("a", 2))
-    assert not elector.claimed(Claim(0, 1), OTHER, S).given, "another life of it has no say"
+    assert not elector.claimed(claim(0, 1), OTHER, S).given, "another life of it has no say"
     elector.released(Release(0, 2), ME)
-    assert elector.claimed(Claim(0, 1), OTHER, S).given
+    assert elector.claimed(claim(0, 1), OTHER, S).given
 
 
 def test_an_elector_promises_again_when_its_promise_is_over_and_nothing_of_unknown_slots() -> None:
     elector = Elector(RULES, -100 * S)
-    assert elector.claimed(Claim(0, 7), ME, 0).given
-    assert not elector.claimed(Claim(0, 1), OTHER, RULES.promised_us - 1).given
-    assert elector.claimed(Claim(0, 1), OTHER, RULES.promised_us).given
-    assert not elector.claimed(Claim(4, 1), OTHER, 0).given and not elector.claimed(Claim(-1, 1), ME, 0).given
+    assert elector.claimed(claim(0, 7), ME, 0).given
+    assert not elector.claimed(claim(0, 1), OTHER, RULES.longest_us - 1).given
+    assert elector.claimed(claim(0, 1), OTHER, RULES.longest_us).given
+    assert not elector.claimed(claim(4, 1), OTHER, 0).given and not elector.claimed(claim(-1, 1), ME, 0).given
     assert len(elector.promises) == 1
 
 
 def test_two_lives_of_one_instance_are_two_holders() -> None:
     elector = Elector(RULES, -100 * S)
-    assert elector.claimed(Claim(0, 9), Who("a", 1), 0).given
-    assert not elector.claimed(Claim(0, 1), Who("a", 2), S).given
+    assert elector.claimed(claim(0, 9), Who("a", 1), 0).given
+    assert not elector.claimed(claim(0, 1), Who("a", 2), S).given
 
 
 def test_a_slot_with_rights_out_is_not_released() -> None:
@@ -295,13 +300,52 @@
 def test_other_slots_are_other_rights_and_none_is_given_before_the_old_ones_are_over() -> None:
     it, elector = holder(), Elector(RULES, -100 * S)
     take(it, 0, 0)
-    assert elector.claimed(Claim(0, 1), ME, 0).given
+    assert elector.claimed(claim(0, 1), ME, 0).given
     other = Rules(total=10, slots=2, lease_us=3 * S, hold_us=S)
     it.reconfigure(other, [ELECTORS])
     elector.reconfigure(other, S)
     assert it.spare(0) == 0
-    assert not elector.claimed(Claim(0, 1), OTHER, RULES.promised_us).given
-    assert elector.claimed(Claim(0, 1), OTHER, S + RULES.promised_us).given
+    assert not elector.claimed(claim(0, 1, other), OTHER, RULES.longest_us).given
+    assert elector.claimed(claim(0, 1, other), OTHER, S + RULES.longest_us).given
+
+
+def test_one_who_reckons_with_other_slots_or_a_longer_lease_is_promised_nothing() -> None:
+    """Instances read a changed file at different moments."""
+    elector = Elector(RULES, -100 * S)
+    longer = Rules(total=10, slots=4, lease_us=9 * S, hold_us=S)
+    assert not elector.claimed(claim(0, 1, longer), ME, 0).given
+    assert not elector.claimed(claim(0, 1, Rules(10, 2, 6 * S, S)), ME, 0).given
+    elector.reconfigure(longer, 0)
+    assert elector.claimed(claim(0, 1, longer), ME, 0).given
+    assert not elector.claimed(claim(0, 1), OTHER, RULES.longest_us).given, "for as long as it reckons with"
+
+
+def test_a_lease_that_is_made_shorter_is_reckoned_with_as_long_as_anybody_may_have_it() -> None:
+    shorter = Rules(total=10, slots=4, lease_us=2 * S, hold_us=S, former_lease_us=6 * S)
+    begun = Elector(shorter, 0)  # a new process: what it promised before is not known
+    assert not begun.claimed(claim(0, 1, shorter), ME, RULES.longest_us - 1).given
+    assert begun.claimed(claim(0, 1), ME, RULES.longest_us).given, "one that has not read it yet"
+    begun.claimed(claim(0, 2, shorter), ME, RULES.longest_us + 1)
+    assert not begun.claimed(claim(0, 1), OTHER, 2 * RULES.longest_us - 1).given, "the longer promise holds"
+
+
+def test_with_other_electors_what_is_spent_and_lent_stays_counted() -> None:
+    it = holder()
+    take(it, 0, 0)
+    assert it.spend(0) is not None and it.asked(Ask(1, 1), OTHER, 1, 0) is not None
+    it.reconfigure(RULES, [("x", "y", "q")])
+    assert it.spare(0) == 0
+    take(it, 0, 0, ("x", "y"))
+    assert it.spare(0) == 1, "the other two are out"
+
+
+def test_borrowers_that_are_over_make_room_and_no_answer_is_forgotten_too_soon() -> None:
+    it = holder()
+    take(it, 0, 0)
+    for number in range(MOST_LEASES):
+        assert it.asked(Ask(1, 1), Who(f"b{number}", 1), 0, 0) is not None
+    assert it.asked(Ask(1, 1), Who("late", 1), 1, RULES.longest_us - 1) is None
+    assert it.asked(Ask(1, 1), Who("late", 1), 1, RULES.longest_us) is not None
 
 
 def test_while_electors_are_changed_both_groups_have_to_promise() -> None:
--- a/tests/decisions/test_escrow_plan.py
+++ b/tests/decisions/test_escrow_plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -167,15 +168,14 @@
 
 def test_an_answer_that_is_lost_is_asked_for_under_the_same_number() -> None:
     it = planner()
-    it.peak = 50.0
-    it.taken = {}
-    numbers = set()
-    for step in range(40):
+    sent: Counter[int] = Counter()
+    for step in range(60):
         it.peak = 50.0
         for out in it.tick(step * S // 100):
             if isinstance(out.message, Ask) and out.to == "i1":
-                numbers.add(out.message.number)
-    assert 0 < len(numbers) <= 6
+                sent[out.message.number] += 1
+    assert len(sent) >= 2, "and another one after it"
+    assert all(count == 3 for count in list(sent.values())[:-1])
 
 
 @pytest.mark.parametrize("loss", [0.0, 0.5])
--- a/tests/decisions/test_share.py
+++ b/tests/decisions/test_share.py
@@ -314,3 +314,15 @@
                 wanted = subset.names[n] in subset._wanted()
                 assert not wanted or mates <= told.keys()
         assert sorted(subset.ranked) == subset.ranked and len(subset.ranked) == len(subset.units)
+
+
+def test_each_that_is_refused_is_told_a_turn_of_its_own_and_none_is_kept_away_while_turns_lapse() -> None:
+    dials = share.Dials(gap_us=100_000, now_us=0, part=0.0)
+    now_us = dials.next_us - 50_000
+    told = [dials.promise_us(now_us, 1_000_000) for _ in range(1_000)]
+    assert all(now_us < at_us <= now_us + 1_000_000 for at_us in told)
+    counts = Counter(told)
+    assert len(counts) == 10 and max(counts.values()) - min(counts.values()) <= 1
+    assert dials.promise_us(now_us + 60_000_000, 1_000_000) <= now_us + 61_000_000
+    far = share.Dials(gap_us=3_600_000_000, now_us=0, part=0.5)
+    assert far.promise_us(0, 1_000_000) == far.next_us, "there is none so soon"
