What discovery has is known in 6 s, whatever calls failed; a call that is out is let be

Terms: a change counts as told 6 s after discovery had it and could be reached. On main the pause after a call that waited in vain went to 0.9 of ask-within (9 s at the first customer; list_turn_us and on_list of balance.py), a call that got no answer was given up after 4.5 s, and the module's repeat at half of ask-within ended the call that was out (subscribe of discovery.py), so a discovery that works in turn could be asked anew and never heard. Now decisions/list_calls.py has the bounds of a call's parts and their sum; the pause counts from the call's begin; a subscription silent for 3 s is broken; a call that is out is not replaced but by a move. A last line that lacks only its end counts. Drain graces come from the settings. Two tests of lists state the grace they reckon with, as their bound depends on it now.

--- a/plovertrail/config/settings.py
+++ b/plovertrail/config/settings.py
@@ -95,6 +95,7 @@
             second_copies=o.flag("bounds.second-copies"),
             list_on_request=o.choice("registry-mode", ("pushed", "on_request")) == "on_request",
             ask_within_us=o.whole("invariants.ask-within", "0"),
+            drain_grace_us=o.whole("invariants.drain-grace", "0"),
             cold_share=o.number("invariants.cold-share"),
             warm_up_us=o.whole("invariants.warm-up"),
             overload_factor=o.number("invariants.overload-factor"),
--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -12,6 +12,14 @@
 from collections.abc import Callable
 
 from plovertrail.decisions import interface as api
+from plovertrail.decisions.list_calls import (
+    BORNE_PER_S,
+    RETRY_US,
+    SILENT_US,
+    UNANSWERED_US,
+    longest_gap_us,
+    retry_within_us,
+)
 from plovertrail.decisions.share import list_span_us
 from plovertrail.decisions.weighted import WeightedDraw
 
@@ -61,12 +69,6 @@
 MOST_RETRIES = 5.0  # reissues in hand after a calm spell
 LOG_GAP_US = 1_000_000  # a line a second at most, however many upstreams change
 NEVER_US = 2 ** 62  # later than any clock says
-FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
-LIST_CALLS_PER_S = 20.0  # in the worst second, that discovery is reckoned to bear where nothing tells
-LONGEST_WAIT = 0.9  # of ask-within, after a call that waited in vain
-# what a silent subscription misses counts as told 6 s after it fell silent, and drains hold 2 s after that;
-# 3.5 of these 8 s are over when it is seen, and the call itself may wait for 2 or more
-SILENT_TURN_US = 2_000_000
 
 
 class PerSecond:
@@ -243,7 +245,8 @@
         self.list_failures = 0
         self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
         self.asked_list_us = now_us  # when it last was
-        self.ask_list_at(now_us + self.list_turn_us(settings.ask_within_us // 2))
+        first_us = min(settings.ask_within_us // 2, longest_gap_us(settings))
+        self.ask_list_at(now_us + self.list_turn_us(first_us))
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         self.now_us = now_us
@@ -835,14 +838,13 @@
     def on_list(self, event: api.UpstreamsUpdated) -> None:
         if event.kind is api.ListKind.FAILED:
             self.list_failures += 1
-            # one that was turned away at once was next to no work for discovery; rule 3 goes by the asking
-            waited = self.now_us - self.asked_list_us > FIRST_RETRY_US
-            longest_us = int((LONGEST_WAIT if waited else 0.5) * self.settings.ask_within_us)
-            if event.silent and not self.settings.list_calls_per_s:
-                # hazard: a turn as late as after a call that failed, with drains missed meanwhile (rule 3);
-                # but what discovery surely bears, where that is known, is not gone beyond
-                longest_us = min(longest_us, SILENT_TURN_US)
-            self.ask_list_at(self.now_us + self.list_turn_us(max(FIRST_RETRY_US, longest_us)))
+            since_us = self.now_us
+            if event.silent:
+                since_us -= SILENT_US
+            elif self.ask_list_us != 0:  # no subscription was up: a call has failed
+                since_us = self.asked_list_us
+            within_us = retry_within_us(self.settings, since_us, self.now_us)
+            self.ask_list_at(self.now_us + self.list_turn_us(within_us))
             return
         if event.kind is not api.ListKind.CACHED:
             self.list_failures = self.ask_list_us = 0
@@ -906,9 +908,9 @@
         of the fleet or of discovery; the span doubles with each failure. Hazard: calls that come faster than
         discovery answers all fail, and those that have waited in vain are work for it all the same."""
         s = self.settings
-        span_us = list_span_us(s.instances, s.list_calls_per_s or LIST_CALLS_PER_S)
+        span_us = list_span_us(s.instances, s.list_calls_per_s or BORNE_PER_S)
         if self.list_failures:
-            span_us = max(FIRST_RETRY_US, span_us) * 2 ** min(self.list_failures - 1, 20)
+            span_us = max(RETRY_US, span_us) * 2 ** min(self.list_failures - 1, 20)
         return int(min(span_us, longest_us) * self.random.random())
 
     def ask_list_at(self, at_us: int) -> None:
@@ -921,7 +923,7 @@
         if self.ask_list_us != 0 and self.now_us >= self.ask_list_us:
             self.asked_list_us = self.now_us
             self.actions.append(api.Subscribe(True))
-            self.ask_list_at(self.now_us + max(FIRST_RETRY_US, self.settings.ask_within_us // 2))
+            self.ask_list_at(self.now_us + max(UNANSWERED_US, self.settings.ask_within_us // 2))
 
     def wake(self, at_us: int, what: str, ident: int) -> None:
         at_us = max(at_us, self.now_us + 1)
--- a/plovertrail/decisions/interface.py
+++ b/plovertrail/decisions/interface.py
@@ -112,6 +112,7 @@
     second_copies: bool = False  # two attempts of a request may be out together
     list_on_request: bool = False  # upstream changes come only after Subscribe or FetchList
     ask_within_us: int = 0  # without a subscription, the list must be asked for this often
+    drain_grace_us: int = 0  # for so long after word that it drains an upstream may still be sent to
     list_calls_per_s: float = 0.0  # what the list's service bears from all instances together; 0 = not known
     cold_share: float = 1.0  # an upstream boots at this share of its capacity or more
     warm_up_us: int = 0  # and is warm after this
@@ -131,7 +132,7 @@
         _require(0 < self.cold_share <= 1, "a cold_share above 0, at most 1", self.cold_share)
         _require(self.overload_factor > 0, "an overload_factor above 0", self.overload_factor)
         for name in ("zone", "tick_us", "max_retry_after_us", "connect_timeout_us", "ask_within_us",
-                     "warm_up_us", "fall_us", "cross_zone_fee", "list_calls_per_s"):
+                     "drain_grace_us", "warm_up_us", "fall_us", "cross_zone_fee", "list_calls_per_s"):
             _require(getattr(self, name) >= 0, f"a {name} of 0 or more", getattr(self, name))
 
 
--- a/plovertrail/sources/discovery.py
+++ b/plovertrail/sources/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import ipaddress
 import json
@@ -18,14 +19,13 @@
 from plovertrail.clock import clock_us
 from plovertrail.config.platform import parse_address
 from plovertrail.decisions.interface import ListKind, Upstream, UpstreamState, UpstreamsUpdated
+from plovertrail.decisions.list_calls import SILENT_US, UNANSWERED_US
 from plovertrail.decisions.membership import UNGUARDED, Candidate, Change, Entry, Kind, State, reduce
 
 log = logging.getLogger(__name__)
 
-UNANSWERED_S = 4.5  # a call that is not answered for so long: discovery itself gives up after 3 s
-# an empty line comes every 2 s. Hazard: what a silent watch misses counts as told 6 s after its last line,
-# and the call for the rest of the list takes its turn and its time within what is left
-SILENCE_S = 3.5
+UNANSWERED_S = UNANSWERED_US / 1e6
+SILENCE_S = SILENT_US / 1e6
 REOPEN_S = 0.25  # a call to an agent on this machine costs nothing, and what it has counts as told
 LONGEST_LINE = 4 * 1024 * 1024  # about 25,000 servers
 SHORT_LINE = 64 * 1024  # hazard: a longer one, or a change among more servers, holds up the loop for too
@@ -174,6 +174,11 @@
         self.fail()
 
     def fail(self) -> None:
+        rest, self.pending = self.pending, b""
+        if self is self.discovery.watch and rest.endswith(b"}"):
+            # hazard: where only the end of its line was cut a change has been told, and counts
+            with contextlib.suppress(Exception):
+                self.discovery.line(self, rest)
         if self.transport is not None:
             self.transport.abort()
         self.discovery.ended(self)
@@ -211,10 +216,12 @@
         self.listener(event, addresses)
 
     def subscribe(self, active: bool) -> None:
-        """Ask for changes from now on, in place of an earlier call; or stop."""
-        self.stop()
+        """Ask for changes from now on, or stop. Hazard: a call that is out has its turn at discovery; ended
+        for a new one it would be asked anew again and again and never heard. It ends by itself in time."""
         self.active = active
-        if active:
+        if not active:
+            self.stop()
+        elif self.watch is None:
             self.watch = Watch(self)
             self.heard()
             self.timer = self.loop.call_later(SILENCE_S, self.check)
@@ -235,6 +242,7 @@
             return
         self.address = address
         self.version = 0  # hazard: the old one's versions mean nothing here, so the whole list is asked for
+        self.stop()
         if self.active:
             self.subscribe(True)
 
@@ -266,8 +274,8 @@
         if left > 0:
             self.timer = self.loop.call_later(left, self.check)
         else:
-            log.warning("the watch is silent")
-            watch.silent = True
+            log.warning("the watch is silent" if watch.answered else "discovery doesn't answer")
+            watch.silent = watch.answered
             watch.fail()
 
     def line(self, watch: Watch, line: bytes) -> None:
--- a/tests/decisions/test_list.py
+++ b/tests/decisions/test_list.py
@@ -65,10 +65,11 @@
 
 @pytest.mark.parametrize("instances", [1, 40, 200, 5_000])
 def test_a_silent_subscription_is_renewed_before_what_it_missed_counts_as_told(instances: int) -> None:
-    """6 s after its last word, and the 2 s of a drain; 3.5 s are over when it is seen."""
+    """6 s after its last word, and the 2 s of a drain; 3 s are over when it is seen."""
     waits = []
     for seed in range(40):
-        found = settings(list_on_request=True, ask_within_us=10_000_000, instances=instances)
+        found = settings(list_on_request=True, ask_within_us=10_000_000, drain_grace_us=2_000_000,
+                         instances=instances)
         balancer = Balancer(found, seed, START_US)
         balancer.handle(START_US, UpstreamsUpdated(ListKind.FULL, upstreams(4), 1))
         now_us = START_US + 30_000_000
@@ -232,7 +233,7 @@
 @pytest.mark.parametrize("each_us", [125_000, 160_000])
 def test_forty_do_not_keep_a_discovery_down_that_works_on_calls_that_have_failed(each_us: int) -> None:
     """Hazard: calls that come faster than they are done all fail, for as long as they do."""
-    config = settings(instances=40, list_on_request=True, ask_within_us=6_600_000)
+    config = settings(instances=40, list_on_request=True, ask_within_us=6_600_000, drain_grace_us=2_000_000)
     balancers = [Balancer(config, seed, START_US) for seed in range(40)]
     discovery = WorksInTurn(each_us)
     due: list[tuple[int, int, int]] = [(START_US, number, 0) for number in range(40)]
