A client that has gone gets no further attempt; closes linger; answers may lack a length

Client gone: data_received of application.py dropped what came behind an open request and stopped reading past 64 KiB, so its end was never seen; a freed slot, a timer or a dial that came up in the turn of the close sent it on all the same. The socket is looked at before each attempt (Call.left), also behind unread bytes; a flood behind an open request has its answer at once. Closes: stop_idle, overdue and make_room aborted: an answer that its client was slow to read was cut (write buffer unsent), and a request between the look and the close was met by a reset. Now our sending ends, what comes is dropped, and the client's end or a second is awaited; a connection that has just come keeps 0.25 s for its request at a stop. should_keep_alive() was asked outside the parser's callback, where it always says yes: Connection: close went unheard. Each has a test over sockets in its order; they fail on the tree before (13 cases). The stop test's idle connection has been used before now: one that has just come is no longer ended at once, which has a test of its own.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -74,12 +74,12 @@
     await asyncio.sleep(STILL_COMING_S)
     server.drain_backlog()
     server.stop_idle()
-    while server.count() and loop.time() < ends:
+    while server.owing() and loop.time() < ends:
         await asyncio.sleep(0.01)
         server.stop_idle()
     server.answer_rest()
     ends = loop.time() + FLUSH_S
-    while server.unsent() and loop.time() < ends:
+    while server.owing() and loop.time() < ends:
         await asyncio.sleep(0.01)
 
 
--- a/plovertrail/exchange.py
+++ b/plovertrail/exchange.py
@@ -42,6 +42,11 @@
         """The server has accepted; whether the socket may open."""
 
 
+def stays() -> bool:
+    """Where no connection of a client can tell whether it has closed."""
+    return False
+
+
 @dataclass(slots=True)
 class Call:
     """A request of the application, as it was read."""
@@ -62,6 +67,7 @@
     handshake: Handshake | None = None
     tenant_name: str = ""
     client: str = ""  # whose it is; the client's address where its route says nothing else
+    left: Callable[[], bool] = stays  # whether its client has closed, also if that was not read yet
 
 
 class Verdict(enum.Enum):
--- a/plovertrail/fronts/application.py
+++ b/plovertrail/fronts/application.py
@@ -19,6 +19,7 @@
 
 LONGEST_BODY = 64 * 1024
 LONGEST_HEAD = 16 * 1024
+MOST_BEHIND = 2 * (LONGEST_BODY + LONGEST_HEAD)  # more than the next request, sent too early, could be
 MOST_DIGITS = 9
 OWN_HEADERS = frozenset((  # of this connection, or written anew for each attempt
     b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade", b"expect",
@@ -171,13 +172,23 @@
             self.body += data
 
     def on_message_complete(self) -> None:
+        assert self.parser is not None
+        if not self.whole and not self.parser.should_keep_alive():
+            self.last = True  # hazard: once the parser has gone on from here it says that all stay open
         self.whole = True
 
     def data_received(self, data: bytes) -> None:
-        if self.state in (State.ENDING, State.OPEN):
-            self.extra = True  # pipelined: the open request is answered, then the connection ends
+        if self.state is State.ENDING:
             self.discard(data)
             return
+        if self.state is State.OPEN:
+            self.extra = True  # pipelined: the open request is answered, then the connection ends
+            self.discarded += len(data)
+            if self.discarded > MOST_BEHIND:
+                # hazard: its end would lie behind a flood, unseen, while attempts go out for nobody
+                self.last = True
+                self.server.host.end(self.ident)
+            return
         if self.state is State.IDLE:
             self.server.move(self, State.READING)
         self.size += len(data)
@@ -212,13 +223,12 @@
         method = self.parser.get_method()
         if self.parser.get_http_version() not in ("1.0", "1.1"):
             raise Reject(400, "not HTTP/1.1")
-        if not self.parser.should_keep_alive():
-            self.last = True
         target, headers, body = self.target, self.headers, bytes(self.body)
         if target == b"/up" and method == b"GET":
             self.write(200 if self.server.ready else 503, b"")
             return
         call = self.server.catalogue.call(method, target, headers, body)
+        call.left = self.left
         if not self.server.seen.add(call.ident):
             # hazard: an upstream that has it already turns it away; its answer might go to the wrong client
             raise Reject(409, "this X-Request-Id has been used")
@@ -295,7 +305,3 @@
                 if client.size and client.transport is not None:
                     client.refuse(503)
 
-    def unsent(self) -> bool:
-        """Whether answers wait for their clients to take them."""
-        return any(client.transport is not None and client.transport.get_write_buffer_size() > 0
-                   for group in self.clients.values() for client in group)
--- a/plovertrail/fronts/connections.py
+++ b/plovertrail/fronts/connections.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
 import logging
+import select
 import socket
 import time
 from abc import abstractmethod
@@ -19,7 +21,9 @@
 LONGEST_SLOW_S = 6.0  # or so long, as long as its bytes keep coming
 LONGEST_PAUSE_S = 0.8
 LONGEST_IDLE_S = 60.0
-LONGEST_LINGER_S = 1.0  # how long a connection that is to end stays for its client to read what it was told
+LONGEST_LINGER_S = 1.0  # how long a connection that is to end waits for its client's end, once all is written
+LONGEST_WRITE_S = 30.0  # for a client to read its answer
+GREETING_S = 0.25  # a new connection's first request is on its way for so long
 MOST_DISCARDED = 64 * 1024  # of what still comes on such a connection; the rest is not even read
 SWEEP_S = 0.1
 ACCEPTS_A_TURN = 16  # hazard: hundreds of connections at once would keep what is open waiting
@@ -58,7 +62,7 @@
 
 
 # who makes room: (state, for how long it has been in it, whether half a request may have come)
-LEAST_USE = ((State.ENDING, 0.0, True), (State.FRESH, 0.25, False), (State.IDLE, 2.0, True),
+LEAST_USE = ((State.ENDING, 0.0, True), (State.FRESH, GREETING_S, False), (State.IDLE, 2.0, True),
              (State.FRESH, 0.0, False), (State.IDLE, 0.0, True), (State.FRESH, 0.0, True),
              (State.READING, 0.0, True))
 
@@ -83,8 +87,10 @@
         """Answer what is no whole request, and end."""
 
     def writing(self) -> bool:
-        """Whether it is to be spared for an answer that its client is still reading."""
-        return False
+        """Whether its client is still reading an answer, and has time left for it."""
+        return (self.transport is not None and not self.transport.is_closing()
+                and self.transport.get_write_buffer_size() > 0
+                and time.monotonic() < self.since + LONGEST_WRITE_S)
 
     def release(self) -> None:
         """The connection has gone: let go of what holds it."""
@@ -114,23 +120,61 @@
         return self.listener.stopping or only_one
 
     def end(self) -> None:
-        """Hazard: closing with bytes unread resets the connection, and the client may lose its answer."""
+        """A lingering close (RFC 9112, section 9.6), only where no request is open: our sending ends behind
+        what is being written, what still comes is read and dropped, and the client closes. Hazard: closing
+        with bytes unread resets the connection; the client may lose its answer, and a request that crosses
+        the close could not be told from one that was taken."""
         assert self.transport is not None
         self.listener.move(self, State.ENDING)
         self.transport.write_eof()
 
+    def unread(self) -> bytes | None:
+        """The next byte that has come and was not read; None: nothing has come. Raises OSError if the
+        connection has broken."""
+        try:
+            return self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
+
     def quiet(self) -> bool:
         """Whether nothing has come that was not read yet."""
         try:
-            return self.sock.recv(1, socket.MSG_PEEK) == b""
-        except OSError:  # nothing has come, or it has broken
+            return not self.unread()
+        except OSError:
             return True
 
-    def close(self) -> None:
-        """End it at once; only where no request is open."""
+    def left(self) -> bool:
+        """Whether the client has closed its connection, also if the loop has not come to read that. Who ends
+        its sending alone counts as gone as well: nothing tells the two apart."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        try:
+            unread = self.unread()
+            # hazard: its end may lie behind bytes that came while the request was open
+            gone = unread == b"" or (unread is not None and self.hung_up())
+        except OSError:
+            gone = True
+        if gone:
+            self.transport.abort()  # hazard: where nothing is read any more, its end would never be
+        return gone
+
+    def hung_up(self) -> bool:
+        """Whether the system has its end, whatever came before."""
+        poll = select.poll()
+        poll.register(self.sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def cut(self) -> None:
+        """End it at once, for its descriptor or because it has lingered for long enough."""
+        if self.transport is None:
+            self.listener.move(self, State.ENDING)  # it is cut as it comes up
+            return
+        if self.state is State.ENDING:
+            # hazard: a close over unread bytes is a reset, and the last answer may be on its way
+            with contextlib.suppress(OSError):
+                self.sock.recv(MOST_DISCARDED)
         self.listener.move(self, State.ENDING)
-        if self.transport is not None:
-            self.transport.abort()
+        self.transport.abort()
 
     def arrived_us(self) -> int:
         """When the last byte of the request that has just been read came, by the module's clock."""
@@ -142,8 +186,12 @@
             now, patience = time.monotonic(), self.listener.patience
             if now > min(self.heard + patience.pause, self.since + patience.slow):
                 self.refuse(408)
-        elif self.state is State.ENDING or self.quiet():
-            self.close()
+        elif self.writing():
+            pass
+        elif self.state is State.ENDING or self.transport is None:
+            self.cut()
+        elif self.quiet():
+            self.end()
 
 
 class Listener:
@@ -240,7 +288,7 @@
                     break
                 if (client.transport is not None and (half or client.size == 0)
                         and (state is State.ENDING or client.quiet()) and not client.writing()):
-                    client.close()
+                    client.cut()
                     self.remove(client)
                     return True
         return False
@@ -271,12 +319,20 @@
                 client.overdue()
 
     def stop_idle(self) -> None:
-        """From now on each answer is the last one of its connection; idle connections close."""
+        """From now on each answer is the last one of its connection; idle connections end. Hazard: a new one
+        whose request is on its way would have come for nothing, and so it has the time for that."""
         self.stopping = True
+        greeted = time.monotonic() - GREETING_S
         for state in (State.IDLE, State.FRESH):
             for client in list(self.clients[state]):
-                if client.size == 0 and client.transport is not None and client.quiet():
-                    client.close()
+                coming = state is State.FRESH and client.since > greeted
+                if client.size == 0 and not coming and client.transport is not None and client.quiet():
+                    client.end()
+
+    def owing(self) -> bool:
+        """Whether any connection may still bring a request or has part of an answer to come."""
+        return any(state is not State.ENDING or client.writing()
+                   for state, group in self.clients.items() for client in group)
 
     def drain_backlog(self) -> None:
         """Take what the system has accepted already, and listen no more. Hazard: closed with the socket,
--- a/plovertrail/fronts/ordinary.py
+++ b/plovertrail/fronts/ordinary.py
@@ -45,7 +45,6 @@
 log = logging.getLogger(__name__)
 
 MOST_PENDING = 64 * 1024  # bytes that come while a request is open, before reading stops
-LONGEST_WRITE_S = 30.0  # for a client to read its answer
 REFUSALS = (429, 503)
 NO_BODY = (204, 304)
 PLAIN_TEXT = (b"Content-Type", b"text/plain")
@@ -238,7 +237,7 @@
         return Call(message.method, routed.target, kept, message.body, arrived_us, wait_us, plan.class_index,
                     ident, tenant, hash(key) & 0xFFFF_FFFF_FFFF_FFFF if key else 0,
                     host=host, handshake=self.socket,
-                    tenant_name=tenant_name.decode("latin-1"), client=client), plan
+                    tenant_name=tenant_name.decode("latin-1"), client=client, left=self.left), plan
 
     def told(self, routed: Routed, path: str, sent: bytes, ident: bytes, client: str) -> dict[str, str]:
         """What the route's templates are filled with."""
@@ -394,16 +393,6 @@
 
     # Time and room
 
-    def writing(self) -> bool:
-        """Whether its client is still reading an answer, and has time left for it."""
-        return (self.transport is not None and not self.transport.is_closing()
-                and self.transport.get_write_buffer_size() > 0
-                and time.monotonic() < self.since + LONGEST_WRITE_S)
-
-    def overdue(self) -> None:
-        if not self.writing():
-            super().overdue()
-
 
 class OrdinaryFront(Listener):
     """One listener of the operator's."""
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -296,7 +296,7 @@
                 self._tell(request.pool, api.RequestGone(ident))
 
     def end(self, ident: int) -> None:
-        """The process ends now: a request that is still open has its final answer."""
+        """No more time is left for it: a request that is still open has its final answer now."""
         request = self.requests.get(ident)
         if request is not None:
             self._overdue(request)
@@ -663,6 +663,7 @@
             return
         if (request.over or left_us <= 0 or action.timeout_us < 0
                 or number >= request.pools[0].settings.max_attempts
+                or self._has_left(request)
                 or not self._may_place(attempt, address, request.call)):
             self._end_attempt(request, number, Result(api.Outcome.NOT_SENT))
             return
@@ -672,6 +673,13 @@
             action.upstream, address, request.call, timeout_us,
             lambda result: self._end_attempt(request, number, result))
 
+    def _has_left(self, request: Request) -> bool:
+        """Whether the client has closed by now. Hazard: its end may lie in the system while a due timer, a
+        freed slot or a long turn comes first, and what is sent then runs for nobody."""
+        if request.call.left():
+            self.gone(request.ident)
+        return request.over
+
     @staticmethod
     def _may_place(attempt: Attempt, address: tuple[str, int], call: Call) -> bool:
         if call.handshake is None:
--- a/plovertrail/running_pool.py
+++ b/plovertrail/running_pool.py
@@ -33,7 +33,7 @@
         self.chosen_by = chosen_by  # this instance's number, and which servers are chosen together
         self.max_answer = max_answer
         self.roster = roster
-        self.connections = connect(config, AnswerRules(max_answer, FAULTS, until_close=True))
+        self.connections = connect(config, AnswerRules(max_answer, FAULTS))
         self.connections.stale = host.stale
         self.pool = host.add_pool(config.name, config.settings, seed, self.connections)
         self.budget = share.Budget()
--- a/plovertrail/upstreams/connections.py
+++ b/plovertrail/upstreams/connections.py
@@ -14,7 +14,7 @@
 from plovertrail.clock import clock_us
 from plovertrail.decisions.interface import Outcome
 from plovertrail.decisions.share import Budget, Dials
-from plovertrail.exchange import Call, Handshake, Result, Tunnel
+from plovertrail.exchange import Call, Handshake, Result, Tunnel, stays
 
 log = logging.getLogger(__name__)
 
@@ -36,7 +36,6 @@
 
     longest_body: int = 64 * 1024
     faults: frozenset[int] | None = None  # statuses; None: all but 200
-    until_close: bool = False  # whether the end of the connection may end an answer (RFC 9112, section 6.3)
 
     def outcome(self, status: int, not_run: bool) -> Outcome:
         """What a whole answer means. Hazard: only the server's own word tells that nothing has run."""
@@ -63,8 +62,10 @@
     """One attempt: it has a connection, or waits until its connection is up."""
 
     def __init__(self, data: bytes, ended: Callable[[Result], None], to_head: bool = False,
-                 handshake: Handshake | None = None, key: bytes = b"") -> None:
+                 handshake: Handshake | None = None, key: bytes = b"",
+                 left: Callable[[], bool] = stays) -> None:
         self.data = data
+        self.left = left  # whether its client has closed
         self.to_head = to_head  # its answer has a head only
         self.handshake = handshake
         self.key = key  # that of the handshake
@@ -125,10 +126,14 @@
             self.close()
             if attempt is not None:
                 attempt.end(Result(Outcome.CONNECT_FAILED))
-        elif self.attempt is not None:
-            self.send(self.attempt)
-        else:
+        elif self.attempt is None:
+            self.pool.put_idle(self)
+        elif self.attempt.left():  # hazard: while its connection came up, which may take seconds
+            attempt, self.attempt = self.attempt, None
             self.pool.put_idle(self)
+            attempt.end(Result(Outcome.NOT_SENT))
+        else:
+            self.send(self.attempt)
 
     def pause_writing(self) -> None:
         self.unsent = True
@@ -289,8 +294,10 @@
             attempt.end(result)
 
     def eof_received(self) -> None:
+        """The end of the connection ends an answer that has no length (RFC 9112, section 6.3); a reset is no
+        end."""
         self.closed = True
-        if (self.pool.rules.until_close and self.attempt is not None and self.parser is not None
+        if (self.attempt is not None and self.parser is not None
                 and self.head_done and not self.framed and not self.complete):
             self.status = self.parser.get_status_code()
             self.complete = True
@@ -354,11 +361,11 @@
         handshake = call.handshake
         if handshake is None:
             attempt = Attempt(request_head(call, address, timeout_us) + call.body, ended,
-                              call.method == b"HEAD")
+                              call.method == b"HEAD", left=call.left)
         else:
             key, headers = handshake.opening()
             head = request_head(call, address, timeout_us, headers)
-            attempt = Attempt(head, ended, handshake=handshake, key=key)
+            attempt = Attempt(head, ended, handshake=handshake, key=key, left=call.left)
         now_us = clock_us()
         while handshake is None and (idle := self.idle.get(upstream)):
             connection = idle[0]
--- /dev/null
+++ b/tests/fronts/test_connections.py
@@ -0,0 +1,325 @@
+"""Where the end of a client's connection crosses something else: a request, a stop, a freed slot, a flood."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from plovertrail import __main__ as program
+from plovertrail.decisions.interface import RequestClass
+from plovertrail.fronts import application
+from plovertrail.fronts.connections import ClientConnection, State
+from plovertrail.upstreams.connections import ConnectionPool
+from standins import web
+from tests.daemons import Held, message, run, running
+from tests.net import (
+    NOT_RUN,
+    OK,
+    PATIENCE_S,
+    Script,
+    Sidecar,
+    Upstream,
+    answering,
+    read_message,
+    request,
+    sidecar,
+    until,
+)
+
+
+def patient() -> list[RequestClass]:
+    """A class whose requests wait for long."""
+    return [RequestClass("pay", aim_us=40_000_000, deadline_us=60_000_000, effect="at_most_once")]
+
+
+def released(first: bytes, release: asyncio.Event) -> Script:
+    """Gives the first answer once it is told to, and OK ever after."""
+    async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                     writer: asyncio.StreamWriter) -> None:
+        if number == 0:
+            await release.wait()
+        writer.write(OK if number else first)
+
+    return script
+
+
+def captured(monkeypatch: pytest.MonkeyPatch, name: str) -> list[Any]:
+    """What the program makes of a class from now on."""
+    made: list[Any] = []
+    kind = getattr(program, name)
+
+    def make(*args: Any, **more: Any) -> Any:
+        made.append(kind(*args, **more))
+        return made[-1]
+
+    monkeypatch.setattr(program, name, make)
+    return made
+
+
+async def raw(it: Sidecar) -> socket.socket:
+    """A connection whose bytes and end reach the sidecar while its loop is held."""
+    sock = socket.socket()
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", it.port))
+    return sock
+
+
+async def everything(sock: socket.socket) -> bytes:
+    """What comes till the other side ends; raises ConnectionResetError if it is cut."""
+    loop, whole = asyncio.get_running_loop(), b""
+    async with asyncio.timeout(PATIENCE_S):
+        while data := await loop.sock_recv(sock, 65_536):
+            whole += data
+    return whole
+
+
+# A client that has gone
+
+
+@pytest.mark.parametrize("half", [False, True])
+def test_a_slot_that_frees_before_the_close_was_read_sends_nothing(monkeypatch: pytest.MonkeyPatch,
+                                                                   half: bool) -> None:
+    """Who ends its sending alone counts as gone, too."""
+    pools: list[ConnectionPool] = captured(monkeypatch, "ConnectionPool")
+    servers: list[application.Server] = captured(monkeypatch, "Server")
+
+    async def test() -> None:
+        release = asyncio.Event()
+        upstream = Upstream(released(b"", release))
+        async with sidecar(upstream, classes=patient()) as it:
+            first, second = await raw(it), await raw(it)
+            first.send(request("pay"))
+            await until(lambda: len(upstream.requests) == 1)
+            second.send(request("pay", "waits"))
+            host = servers[0].host
+            await until(lambda: len(host.requests) == 2)
+            [connection] = [one for group in pools[0].connections.values() for one in group]
+            # from here on the loop has no turn: the close lies in the system, the answer comes first
+            if half:
+                second.shutdown(socket.SHUT_WR)
+            else:
+                second.close()
+            connection.data_received(OK)
+            release.set()
+            await it.ask(request("pay", "later"))
+            assert [b"waits" in head for head, _ in upstream.requests] == [False, False]
+            assert not host.requests
+            first.close()
+            second.close()
+
+    run(test)
+
+
+def test_a_client_that_left_behind_a_flood_gets_no_further_attempt(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What comes behind an open request is not kept, and its end would lie behind it, unseen."""
+    servers: list[application.Server] = captured(monkeypatch, "Server")
+
+    async def test() -> None:
+        release = asyncio.Event()
+        upstream = Upstream(released(NOT_RUN, release))
+        async with sidecar(upstream, classes=patient()) as it:
+            reader, writer = await it.connect()
+            writer.write(request("pay"))
+            await until(lambda: len(upstream.requests) == 1)
+            writer.write(b"x" * 4_000_000)
+            head, _ = await read_message(reader)
+            assert b" 500 " in head and b"Connection: close" in head
+            release.set()
+            await until(lambda: not servers[0].host.requests)
+            assert len(upstream.requests) == 1
+            writer.close()
+
+    run(test)
+
+
+def test_one_that_is_sent_too_early_costs_the_open_request_nothing() -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+        upstream = Upstream(released(OK, release))
+        async with sidecar(upstream, classes=patient()) as it:
+            reader, writer = await it.connect()
+            writer.write(request("pay"))
+            await until(lambda: len(upstream.requests) == 1)
+            writer.write(request("pay", body=b"y" * application.LONGEST_BODY))
+            await writer.drain()
+            release.set()
+            head, body = await read_message(reader)
+            assert b" 200 " in head and body == b"done"
+            assert b" 400 " in (await read_message(reader))[0] and await reader.read() == b""
+            writer.close()
+
+    run(test)
+
+
+def test_a_close_behind_bytes_that_nobody_reads_is_seen_before_the_next_attempt(tmp_path: Path) -> None:
+    """An ordinary client's next requests wait, and the system keeps what is beyond them, its end as well.
+    What doesn't fit into what the system keeps is not known of, and neither is an end behind it."""
+
+    async def test() -> None:
+        held = Held()
+        held.server.script = never_ran(held)
+        async with running(tmp_path, {"main": [held.server]}) as it:
+            client = await it.connect()
+            client.writer.write(message("POST /buy", body=b"1"))
+            await until(lambda: len(held.server.arrivals) == 1)
+            # more than is kept while a request is open: reading stops, and the end is not read
+            client.writer.write(b"".join(message("POST /buy", body=b"z" * 30_000) for _ in range(3)))
+            [front] = it.daemon.fronts.values()
+            await until(lambda: any(not one.transport.is_reading() for one in front.clients[State.OPEN]
+                                    if one.transport is not None))
+            client.writer.write(message("POST /buy", body=b"z" * 10_000))
+            await client.writer.drain()
+            client.close()
+            await client.writer.wait_closed()
+            held.release.release()
+            await until(lambda: not it.daemon.host.requests)
+            assert len(held.server.arrivals) == 1
+
+    run(test)
+
+
+def never_ran(held: Held) -> web.Script:
+    async def script(server: web.WebServer, arrival: web.Arrival, line: web.Line) -> bytes:
+        await held.release.acquire()
+        return web.NOT_RUN
+
+    return script
+
+
+# Closes
+
+
+@pytest.mark.parametrize("state", ["idle", "stop"])
+def test_a_request_that_crosses_a_close_finds_an_end_and_no_reset(monkeypatch: pytest.MonkeyPatch,
+                                                                  state: str) -> None:
+    """It comes between the look for unread bytes and the close; its client sends it again elsewhere."""
+    quiet = ClientConnection.quiet
+
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        async with sidecar(upstream) as it:
+            sock = await raw(it)
+            loop = asyncio.get_running_loop()
+            sock.send(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert b" 200 " in await loop.sock_recv(sock, 1000)
+
+            def crossed(client: ClientConnection) -> bool:
+                found = quiet(client)
+                if found and client.answered and client.state is State.IDLE:
+                    sock.send(request("read", "crosses"))
+                return found
+
+            monkeypatch.setattr(ClientConnection, "quiet", crossed)
+            if state == "stop":
+                it.stop.set()
+            else:
+                monkeypatch.setitem(application_patience(), State.IDLE, 0.0)
+            assert await everything(sock) == b""
+            assert not upstream.requests
+            sock.close()
+            if state == "stop":
+                await it.task
+
+    run(test)
+
+
+def application_patience() -> dict[State, float]:
+    from plovertrail.fronts.connections import LONGEST_S
+
+    return LONGEST_S
+
+
+LONG = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + b"z" * 60_000
+
+
+@pytest.mark.parametrize("how", ["stop", "room"])
+def test_an_answer_that_its_client_is_slow_to_read_comes_whole(monkeypatch: pytest.MonkeyPatch,
+                                                               how: str) -> None:
+    """Neither a stop nor the want of room cuts it."""
+    make = application.Server.connection
+
+    def narrow(server: application.Server, sock: socket.socket) -> application.Client:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+        return make(server, sock)
+
+    monkeypatch.setattr(application.Server, "connection", narrow)
+    servers: list[application.Server] = captured(monkeypatch, "Server")
+
+    async def test() -> None:
+        async with sidecar(Upstream(answering(LONG))) as it:  # 200 descriptors
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", it.port))
+            last = "Connection: close\r\n" if how == "room" else ""
+            sock.send(request(extra=last))
+            await until(lambda: any(one.writing() for group in servers[0].clients.values() for one in group))
+            others = []
+            if how == "stop":
+                it.stop.set()
+                await until(lambda: servers[0].stopping)
+            else:
+                for _ in range(servers[0].most_clients + 10):
+                    others.append(await it.connect())
+                # the last of them took the places of others
+                await until(lambda: servers[0].count() >= servers[0].most_clients - 1)
+            assert [one.state for group in servers[0].clients.values() for one in group if one.writing()] == [
+                State.ENDING]
+            whole = await everything(sock)
+            assert whole.endswith(b"z" * 60_000)
+            sock.close()
+            for _, writer in others:
+                writer.close()
+
+    run(test)
+
+
+def test_a_connection_that_came_just_before_the_stop_has_its_request_served() -> None:
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:
+            reader, writer = await it.connect()
+            await asyncio.sleep(0)
+            it.stop.set()
+            await asyncio.sleep(0.05)  # the stop is under way
+            writer.write(request())
+            head, body = await read_message(reader)
+            assert b" 200 " in head and body == b"done" and await reader.read() == b""
+            writer.close()
+            await it.task
+
+    run(test)
+
+
+@pytest.mark.parametrize("data", [
+    request(extra="Connection: close\r\n"),
+    request().replace(b"HTTP/1.1", b"HTTP/1.0"),
+])
+def test_a_client_that_wants_the_end_after_its_answer_has_it(data: bytes) -> None:
+    """One that waits for it would wait for as long as an idle connection may stay."""
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:
+            reader, writer = await it.connect()
+            writer.write(data)
+            head, body = await read_message(reader)
+            assert b" 200 " in head and b"Connection: close" in head and await reader.read() == b""
+            writer.close()
+
+    run(test)
+
+
+def test_one_that_rests_until_it_is_ended_does_not_hold_up_the_end() -> None:
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:
+            resting = [await raw(it) for _ in range(5)]
+            it.stop.set()
+            async with asyncio.timeout(PATIENCE_S):
+                await it.task
+            for sock in resting:
+                assert await everything(sock) == b""
+                sock.close()
+
+    run(test)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -342,6 +343,40 @@
     run(test)
 
 
+@pytest.mark.parametrize(("early", "end", "expected"), [
+    (b"HTTP/1.1 200 OK\r\n\r\ndone", "end", 200),
+    (b"HTTP/1.1 200 OK\r\n\r\ndone", "reset", 500),
+    (b"HTTP/1.1 200 OK\r\n\r\n", "reset", 500),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndone", "end", 500),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n", "end", 500),
+    (b"HTTP/1.1 103 Hints\r\n\r\n", "end", 500),
+    (b"HTTP/1.1 200", "end", 500),
+])
+def test_an_answer_without_a_length_ends_with_its_connection_and_a_reset_is_no_end(
+        early: bytes, end: str, expected: int) -> None:
+    async def script(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                     writer: asyncio.StreamWriter) -> None:
+        writer.write(early)
+        await writer.drain()
+        if end == "reset":
+            # the answer must have been read before, or it would be lost with the connection
+            await asyncio.sleep(0.05)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+        raise ConnectionResetError  # the stand-in closes
+
+    async def test() -> None:
+        upstream = Upstream(script)
+        async with sidecar(upstream) as it:
+            answer = await it.ask(request("pay"))
+            assert status(answer) == expected
+            assert answer[1] == (b"done" if expected == 200 else b"")
+            assert len(upstream.requests) == 1
+
+    run(test)
+
+
 def test_an_idle_connection_is_closed_before_the_upstream_would() -> None:
     async def test() -> None:
         ended = asyncio.Event()
@@ -681,6 +716,53 @@
     run(test)
 
 
+def test_a_change_whose_line_lacks_only_its_end_counts_as_told() -> None:
+    async def test() -> None:
+        upstream, discovery = Upstream(answering(OK)), Discovery()
+        async with sidecar(upstream, discovery=discovery) as it:
+            await discovery.watched()
+            whole = json.dumps(listing(entry("u0", upstream.port, "leaving"), rev=9, full=False)).encode()
+            discovery.writers[-1].write(b"%x\r\n%s" % (len(whole) + 1, whole))
+            discovery.writers[-1].close()
+            async with asyncio.timeout(PATIENCE_S):
+                while status(await it.ask(request())) != 503:
+                    pass
+            await discovery.watched()
+            assert b"since=9 " in discovery.calls[1]
+
+    run(test)
+
+
+def test_a_call_that_is_out_is_not_ended_by_the_next_one_and_a_move_replaces_it() -> None:
+    """A discovery that works in turn would be asked anew again and again, and never be heard."""
+
+    async def test() -> None:
+        told: list[UpstreamsUpdated] = []
+        first, second = Discovery(), Discovery()
+        for each in (first, second):
+            await each.start()
+        directory = discovery_module.Directory(["a"], ["m"])
+        source = discovery_module.Discovery(("127.0.0.1", first.port), directory,
+                                            lambda event, addresses: told.append(event))
+        source.subscribe(True)
+        source.subscribe(True)  # before its connection is up
+        await first.watched()
+        source.subscribe(True)
+        first.line(listing(entry("x", 1)))
+        await until(lambda: [event.kind for event in told] == [ListKind.FULL])
+        source.subscribe(True)
+        source.move(("127.0.0.1", second.port))
+        await second.watched()
+        second.line(listing(entry("y", 1), rev=1))
+        await until(lambda: len(told) == 2)
+        assert (len(first.calls), len(second.calls)) == (1, 1)
+        source.subscribe(False)
+        for each in (first, second):
+            each.stop()
+
+    run(test)
+
+
 def test_a_known_list_that_can_not_be_read_is_passed_over_and_a_new_one_asked_for() -> None:
     async def test() -> None:
         up = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -785,6 +867,8 @@
 
         async with sidecar(*upstreams) as it:
             idle_reader, idle_writer = await it.connect()
+            idle_writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert status(await read_message(idle_reader)) == 200
             reader, writer = await it.connect()
             writer.write(request(ident="1"))
             await until(lambda: total() == 1)
--- a/tests/upstreams/test_connections.py
+++ b/tests/upstreams/test_connections.py
@@ -67,6 +67,26 @@
     run(test)
 
 
+def test_a_connection_that_comes_up_once_the_client_has_left_carries_nothing_and_is_kept() -> None:
+    async def test() -> None:
+        server = WebServer()
+        await server.start()
+        pool = ConnectionPool(10_000_000, 1_000_000, 10)
+        ends: list[Result] = []
+        call, gone = get(), False
+        call.left = lambda: gone
+        pool.start(1, ("127.0.0.1", server.port), call, 1_000_000, ends.append)
+        gone = True  # the dial has not begun
+        await until(lambda: bool(ends))
+        assert ends[0].outcome is Outcome.NOT_SENT and not server.arrivals
+        pool.start(1, ("127.0.0.1", server.port), get(), 1_000_000, ends.append)
+        await until(lambda: len(ends) == 2)
+        assert ends[1].outcome is Outcome.OK and server.connections == 1
+        server.stop()
+
+    run(test)
+
+
 def test_idle_connections_close_ahead_of_the_server_and_leave_no_timer() -> None:
     async def test() -> None:
         server = WebServer()
