--- a/standins/balancers_model.py
+++ b/standins/balancers_model.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 from collections import Counter
 from dataclasses import dataclass, field
@@ -208,6 +209,29 @@
         self.run(self.now_us + 3 * SECOND_US)
         assert not self.owed, "rule 1: without an answer"
 
+    def restart(self, sidecar: int) -> None:
+        """It dies and begins anew with the list alone; what it had open is its clients' to repeat."""
+        self.balancers[sidecar] = Balancer(self.settings, self.random.randrange(2 ** 30), self.now_us)
+        self.owed = {request: owed for request, owed in self.owed.items() if owed[0] != sidecar}
+        self.due = [due for due in self.due if due[2] != sidecar]
+        heapq.heapify(self.due)
+        for upstream in [upstream for owner, upstream in self.idle if owner == sidecar]:
+            self.servers[upstream].connections -= self.idle.pop((sidecar, upstream))
+        listed = [server.entry for server in self.servers.values()
+                  if not self.left.get((sidecar, server.entry.id))]
+        self.tell(sidecar, UpstreamsUpdated(ListKind.FULL, listed))
+
+    def beyond(self, number: int) -> float:
+        """How far a cold upstream got beyond N + 2 calls in any `fall_us`, N its budget: in roots of N."""
+        server, s, worst, end = self.servers[number], self.settings, -math.inf, 0
+        for begin, start in enumerate(server.sent):
+            while end < len(server.sent) and server.sent[end] < start + s.fall_us:
+                end += 1
+            warmth = server.warmth(start, s.cold_share, s.warm_up_us)
+            budget = s.overload_factor * warmth * s.fall_us / server.work_us
+            worst = max(worst, (end - begin - budget - 2) / math.sqrt(budget))
+        return worst
+
     def pushed(self, number: int) -> float:
         """The most work sent to a cold upstream in any `fall_us`, of what pushes it over."""
         server, s, worst = self.servers[number], self.settings, 0.0
