A repeat is written within its window or not at all; a dial knows at once whom it is for

A connection was made in the dial's first step, so an upstream forgotten between the send and that step was sent to all the same (forget of upstreams/connections.py marks what there is): it is made with the attempt now, and the count of dials that have not begun is gone. The drawn worlds of the decision tests check the bound on each repeat.

--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -729,7 +729,8 @@
             silent_us = self.now_us + self.silent_after_us(index)
             if silent_us < self.wanted_us:
                 self.wanted_us = silent_us
-        self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request)))
+        self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request),
+                                     self.repeat_within_us(request)))
         if self.settings.second_copies and self.class_of(request).effect != "at_most_once":
             # soon enough to be back in time, late enough to be seldom
             after_us = min(int(2 * self.mean_us[index]), self.half_aim_us(index))
@@ -784,6 +785,14 @@
         index, known_us = request.event.class_index, request.event.cost_us
         return min(left_us, max(int(4 * self.mean_us[index]), self.half_aim_us(index), 4 * known_us))
 
+    def repeat_within_us(self, request: Request) -> int:
+        """Rule 2: for how long the attempt that begins now would be dropped as a repeat; 0: it needs not be.
+        Hazard: its connection may take so long to come up that the group has forgotten the first."""
+        kind, first = self.class_of(request), request.first_that_may_have_run()
+        if kind.effect != "deduplicated" or first is None or first is request.attempts[-1]:
+            return 0
+        return max(1, first.sent_us + kind.memory_us - self.now_us)
+
     def send_copy(self, request: Request) -> None:
         """The first runs on. Never in a shortage: copies would take the slots of requests that have none."""
         if request.out == 1 and self.buffer is None:
--- a/plovertrail/decisions/interface.py
+++ b/plovertrail/decisions/interface.py
@@ -245,6 +245,7 @@
     request: int
     upstream: int
     timeout_us: int = 0  # 0 = until the client quits
+    within_us: int = 0  # it may begin within this, and no later; 0 = at any time
 
 
 @dataclass(slots=True)
--- a/plovertrail/exchange.py
+++ b/plovertrail/exchange.py
@@ -126,8 +126,9 @@
     """The side of the upstreams."""
 
     def start(self, upstream: int, address: tuple[str, int], call: Call, timeout_us: int,
-              ended: Callable[[Result], None]) -> Flight:
-        """Begin an attempt. `ended` is called once, later, unless the attempt is given up first."""
+              ended: Callable[[Result], None], within_us: int = 0) -> Flight:
+        """Begin an attempt. `ended` is called once, later, unless the attempt is given up first. Nothing is
+        written after `within_us`; 0: whenever its connection is up."""
 
     def shut(self, new: bool) -> Container[int]:
         """The upstreams that no attempt could reach now, as it would need a further connection and may have
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -671,7 +671,7 @@
         attempt.timer = self._at(now_us + timeout_us, self._timed_out, request, number)
         attempt.flight = pool.upstreams.start(
             action.upstream, address, request.call, timeout_us,
-            lambda result: self._end_attempt(request, number, result))
+            lambda result: self._end_attempt(request, number, result), action.within_us)
 
     def _has_left(self, request: Request) -> bool:
         """Whether the client has closed by now. Hazard: its end may lie in the system while a due timer, a
--- a/plovertrail/rehearsal/daemon.py
+++ b/plovertrail/rehearsal/daemon.py
@@ -110,13 +110,13 @@
     """One client with one request."""
 
     def __init__(self, front: OrdinaryFront, asked: Asked, address: str) -> None:
-        super().__init__(front, cast(socket.socket, None))  # `quiet` alone would ask it
+        super().__init__(front, cast(socket.socket, None))  # `unread` alone would ask it
         self.asked = asked
         front.clients[connections.State.FRESH][self] = None
         self.connection_made(PlayedTransport(address, self.heard_back))
 
-    def quiet(self) -> bool:
-        return True
+    def unread(self) -> bytes | None:
+        return None
 
     def heard_back(self, data: bytes) -> None:
         if data != b"HTTP/1.1 100 Continue\r\n\r\n":
--- a/plovertrail/rehearsal/servers.py
+++ b/plovertrail/rehearsal/servers.py
@@ -79,6 +79,7 @@
         call: Call,
         timeout_us: int,
         ended: Callable[[Result], None],
+        within_us: int = 0,
     ) -> PlayedFlight:
         behaviour = self.behaviour(address)
         over = self.sent(self.pool, upstream, address, call, behaviour)
--- a/plovertrail/upstreams/connections.py
+++ b/plovertrail/upstreams/connections.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import socket
-from collections import Counter
 from collections.abc import Callable, Container
 from dataclasses import dataclass
 
@@ -63,9 +62,10 @@
 
     def __init__(self, data: bytes, ended: Callable[[Result], None], to_head: bool = False,
                  handshake: Handshake | None = None, key: bytes = b"",
-                 left: Callable[[], bool] = stays) -> None:
+                 left: Callable[[], bool] = stays, latest_us: int = 0) -> None:
         self.data = data
         self.left = left  # whether its client has closed
+        self.latest_us = latest_us  # it may not begin later; 0: at any time
         self.to_head = to_head  # its answer has a head only
         self.handshake = handshake
         self.key = key  # that of the handshake
@@ -74,6 +74,10 @@
         self.written = False
         self.given_up = False
 
+    def may_begin(self) -> bool:
+        """Whether it is still of use, and harmless, now that its connection is up."""
+        return not (self.latest_us and clock_us() >= self.latest_us) and not self.left()
+
     def give_up(self) -> None:
         """Nothing more comes of it. A connection that has carried it is closed; one still coming up stays."""
         self.given_up = True
@@ -128,12 +132,12 @@
                 attempt.end(Result(Outcome.CONNECT_FAILED))
         elif self.attempt is None:
             self.pool.put_idle(self)
-        elif self.attempt.left():  # hazard: while its connection came up, which may take seconds
+        elif self.attempt.may_begin():
+            self.send(self.attempt)
+        else:  # hazard: its connection may take seconds to come up
             attempt, self.attempt = self.attempt, None
             self.pool.put_idle(self)
             attempt.end(Result(Outcome.NOT_SENT))
-        else:
-            self.send(self.attempt)
 
     def pause_writing(self) -> None:
         self.unsent = True
@@ -346,7 +350,6 @@
         self.dial_timeout_us = dial_timeout_us
         self.configured = self.most = most  # connections
         self.count = 0
-        self.coming: Counter[int] = Counter()  # dials that have not begun: each is sure of its place
         self.budget = Budget()  # this instance's part of what an upstream bears from all
         self.dial_turns: Dials | None = None
         self.rules = rules or AnswerRules()
@@ -357,11 +360,12 @@
         self.sweeper: asyncio.TimerHandle | None = None  # set while there are idle connections
 
     def start(self, upstream: int, address: Address, call: Call, timeout_us: int,
-              ended: Callable[[Result], None]) -> Attempt:
+              ended: Callable[[Result], None], within_us: int = 0) -> Attempt:
         handshake = call.handshake
         if handshake is None:
             attempt = Attempt(request_head(call, address, timeout_us) + call.body, ended,
-                              call.method == b"HEAD", left=call.left)
+                              call.method == b"HEAD", left=call.left,
+                              latest_us=clock_us() + within_us if within_us else 0)
         else:
             key, headers = handshake.opening()
             head = request_head(call, address, timeout_us, headers)
@@ -378,20 +382,37 @@
             connection.close()
         if not self.may_dial(upstream):
             # the module was told so; but several attempts may have gone for one place
-            self.loop.call_soon(self.not_sent, attempt)
+            self.loop.call_soon(self.not_sent, attempt, Outcome.NOT_SENT)
             return attempt
         if self.dial_turns is not None:
             self.dial_turns.took(now_us)
-        self.coming[upstream] += 1
-        task = self.loop.create_task(self.dial(upstream, address, attempt))
+        try:
+            # hazard: one that is made only as its dial begins is not there yet when its upstream is forgotten
+            made = self.make(upstream, attempt)
+        except OSError as error:
+            log.warning("no connection to upstream %d: %r", upstream, error)
+            self.loop.call_soon(self.not_sent, attempt, Outcome.CONNECT_FAILED)
+            return attempt
+        task = self.loop.create_task(self.dial(made, address, attempt))
         self.dials.add(task)
         task.add_done_callback(self.dials.discard)
         return attempt
 
     @staticmethod
-    def not_sent(attempt: Attempt) -> None:
+    def not_sent(attempt: Attempt, outcome: Outcome) -> None:
         if not attempt.given_up:
-            attempt.end(Result(Outcome.NOT_SENT))
+            attempt.end(Result(outcome))
+
+    def make(self, upstream: int, attempt: Attempt) -> Connection:
+        """A connection that is to carry an attempt first, not dialled yet; raises OSError if there may be no
+        more."""
+        self.make_room()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        made = Connection(self, upstream, sock)
+        made.attempt, attempt.connection = attempt, made
+        return made
 
     def limit(self, budget: Budget, turn: float) -> None:
         """Keep to this instance's part from now on; its first dial comes after `turn`, a random number from 0
@@ -413,9 +434,9 @@
     def may_dial(self, upstream: int) -> bool:
         """Whether a further connection fits into this instance's part."""
         each = self.budget.connections_each
-        if each and len(self.connections.get(upstream, ())) + self.coming[upstream] >= each:
+        if each and len(self.connections.get(upstream, ())) >= each:
             return False
-        if self.budget.connections and self.count + self.coming.total() >= self.most and not self.idle:
+        if self.budget.connections and self.count >= self.most and not self.idle:
             return False
         return self.dial_turns is None or self.dial_turns.may(clock_us())
 
@@ -434,33 +455,22 @@
             return 0
         return self.dial_turns.promise_us(now_us, longest_us)
 
-    async def dial(self, upstream: int, address: Address, attempt: Attempt) -> None:
-        self.coming[upstream] -= 1
-        if not self.coming[upstream]:
-            del self.coming[upstream]
-        if attempt.given_up:  # hazard: before this task's first step; it would be sent after the answer
+    async def dial(self, made: Connection, address: Address, attempt: Attempt) -> None:
+        if attempt.given_up:  # before this task's first step
+            made.sock.close()
+            self.remove(made)
             return
-        connection: Connection | None = None
         try:
-            self.make_room()
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            connection = Connection(self, upstream, sock)
-            connection.attempt = attempt
-            attempt.connection = connection
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self.dial_timeout_us / 1e6 or None):
-                await self.loop.sock_connect(sock, address)
-            made = connection
-            await self.loop.create_connection(lambda: made, sock=sock)
+                await self.loop.sock_connect(made.sock, address)
+            await self.loop.create_connection(lambda: made, sock=made.sock)
         except Exception as error:
-            # refused, unreachable, no descriptor left, not up in time; or no address at all
+            # refused, unreachable, not up in time; or no address at all
             if not isinstance(error, OSError):
-                log.warning("no connection to upstream %d: %r", upstream, error)
-            if connection is not None:
-                connection.attempt = None
-                connection.sock.close()
-                self.remove(connection)
+                log.warning("no connection to upstream %d: %r", made.upstream, error)
+            made.attempt = None
+            made.sock.close()
+            self.remove(made)
             if not attempt.given_up and not attempt.written:
                 attempt.end(Result(Outcome.CONNECT_FAILED))
 
--- a/tests/decisions/world.py
+++ b/tests/decisions/world.py
@@ -193,7 +193,8 @@
         for earlier in owed.may_have_run():
             assert kind.effect != "at_most_once", "rule 2: an unsafe request sent again"
             if kind.effect == "deduplicated":
-                assert self.now_us - earlier.sent_us <= kind.memory_us, "rule 2: past the memory"
+                left_us = earlier.sent_us + kind.memory_us - self.now_us
+                assert 0 < send.within_us <= left_us, "rule 2: past the memory, or once its connection is up"
                 assert kind.group != "cell" or entry.cell == earlier.cell, "rule 2: outside the cell"
                 assert kind.group != "zone" or entry.zone == earlier.zone, "rule 2: outside the zone"
         ends_us = owed.event.due_us
--- a/tests/upstreams/test_connections.py
+++ b/tests/upstreams/test_connections.py
@@ -48,7 +48,7 @@
             pool.start(1, ("127.0.0.1", server.port), get(), 1_000_000, ends.append)
         await until(lambda: len(ends) == 5)
         assert [end.outcome for end in ends].count(Outcome.NOT_SENT) == 3 and server.count == 2
-        assert server.connections == 2 and pool.count == 2 and not pool.coming
+        assert server.connections == 2 and pool.count == 2
         server.stop()
 
     run(test)
@@ -87,6 +87,47 @@
     run(test)
 
 
+def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_sent() -> None:
+    async def test() -> None:
+        server = WebServer()
+        await server.start()
+        pool = ConnectionPool(10_000_000, 1_000_000, 10)
+        ends: list[Result] = []
+        pool.start(1, ("127.0.0.1", server.port), get(), 1_000_000, ends.append, within_us=1)
+        await until(lambda: len(ends) == 1)
+        assert ends[0].outcome is Outcome.NOT_SENT and not server.arrivals
+        pool.start(1, ("127.0.0.1", server.port), get(), 1_000_000, ends.append, within_us=10_000_000)
+        await until(lambda: len(ends) == 2)
+        assert ends[1].outcome is Outcome.OK
+        server.stop()
+
+    run(test)
+
+
+def test_an_upstream_that_is_forgotten_before_its_dial_begins_gets_nothing() -> None:
+    """And one that comes to its address under another name in the same turn does."""
+
+    async def test() -> None:
+        server = WebServer()
+        await server.start()
+        pool = ConnectionPool(10_000_000, 1_000_000, 10)
+        ends: list[Result] = []
+        pool.start(1, ("127.0.0.1", server.port), get(), 1_000_000, ends.append)
+        pool.forget(1)  # the dial has not had its first step
+        await until(lambda: len(ends) == 1)
+        assert ends[0].outcome is Outcome.CONNECT_FAILED and not server.arrivals
+        assert pool.count == 0 and not pool.connections
+        pool.start(1, ("127.0.0.1", server.port), get(), 1_000_000, ends.append)
+        pool.forget(1)
+        pool.start(2, ("127.0.0.1", server.port), get(), 1_000_000, ends.append)
+        await until(lambda: len(ends) == 3)
+        assert sorted(end.outcome.value for end in ends[1:]) == ["connect_failed", "ok"]
+        assert len(server.arrivals) == 1
+        server.stop()
+
+    run(test)
+
+
 def test_idle_connections_close_ahead_of_the_server_and_leave_no_timer() -> None:
     async def test() -> None:
         server = WebServer()
