Signals that cross a stop, and a stop before the first list: held by tests of the program

SIGTERM twice, SIGHUP before, after and around it, the configuration readable and not, with a request open: answered, exit 0. No fault found there.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -187,6 +187,69 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("signals", [
+    (signal.SIGTERM, signal.SIGTERM),
+    (signal.SIGHUP, signal.SIGTERM),
+    (signal.SIGTERM, signal.SIGHUP),
+    (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGHUP),
+], ids=lambda signals: "-".join(each.name for each in signals))
+@pytest.mark.parametrize("readable", [True, False], ids=["readable", "unreadable"])
+def test_signals_that_cross_a_stop_cost_no_answer_and_it_ends_with_0(
+        tmp_path: Path, signals: tuple[signal.Signals, ...], readable: bool) -> None:
+    """Also with a configuration that has become unreadable, and while an upstream is at work."""
+    release = asyncio.Event()
+
+    async def slow(upstream: Upstream, number: int, reader: asyncio.StreamReader,
+                   writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(OK)
+
+    async def test() -> None:
+        upstream = Upstream(slow)
+        await upstream.start()
+        path = configuration(tmp_path, known=listing(entry("u", upstream.port)))
+        port = int(json.loads(path.read_text())["listen"].split(":")[1])
+        with program(path) as process:
+            async with asyncio.timeout(PATIENCE_S):
+                await listening(port)
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(request("pay", body=b"b"))
+                while not upstream.requests:
+                    await asyncio.sleep(0.01)
+                if not readable:
+                    path.write_text("{")
+                for each in signals:
+                    process.send_signal(each)
+                release.set()
+                head, body = await read_message(reader)
+                assert b" 200 " in head and body == b"done"
+                writer.close()
+                assert await asyncio.to_thread(process.wait, PATIENCE_S) == 0
+        upstream.stop()
+
+    asyncio.run(test())
+
+
+def test_a_stop_before_the_first_list_ends_with_0_and_refuses_what_has_come(tmp_path: Path) -> None:
+    async def test() -> None:
+        path = configuration(tmp_path, known=None)
+        port = int(json.loads(path.read_text())["listen"].split(":")[1])
+        with program(path) as process:
+            async with asyncio.timeout(PATIENCE_S):
+                await listening(port)
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(request("pay", body=b"b", deadline_ms=1_000)[:-1])
+                process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(0.05)
+                writer.write(b"b")  # its last byte comes while the stop is under way
+                head, _ = await read_message(reader)
+                assert b" 503 " in head
+                writer.close()
+                assert await asyncio.to_thread(process.wait, PATIENCE_S) == 0
+
+    asyncio.run(test())
+
+
 @pytest.mark.parametrize("changes", [{"listen": "nowhere"}, {"settings": {}}, {"limits": {}}])
 def test_a_configuration_that_can_not_be_read_ends_it_with_one_line(tmp_path: Path,
                                                                     changes: dict[str, Any]) -> None:
