--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -21,6 +21,7 @@
 log = logging.getLogger(__name__)
 
 UNREADABLE = (OSError, KeyError, TypeError, ValueError, SettingsError)
+# by the protocol page, "Figures":
 STILL_COMING_S = 0.5  # after SIGTERM new connections come for up to 0.4 s
 LONGEST_WAIT_S = 3.0  # SIGKILL comes 0.7 s after the longest deadline or, where that is longer, after so much
 STOP_SLACK_S = 0.1  # for the last answers to be on their way, within these 0.7 s
--- a/plovertrail/fronts/connections.py
+++ b/plovertrail/fronts/connections.py
@@ -17,13 +17,15 @@
 
 log = logging.getLogger(__name__)
 
+# The protocol page bounds how long a request waits, from its last byte on, and not how long its bytes or an
+# answer's take; so the next ones are bounds of our own on what a client may hold without asking for anything.
 LONGEST_READ_S = 2.4  # to connect and send a whole request, and to send each later one;
 LONGEST_SLOW_S = 6.0  # or so long, as long as its bytes keep coming
 LONGEST_PAUSE_S = 0.8
 LONGEST_IDLE_S = 60.0
 LONGEST_LINGER_S = 1.0  # how long a connection that is to end waits for its client's end, once all is written
 LONGEST_WRITE_S = 30.0  # for a client to read its answer
-GREETING_S = 0.25  # a new connection's first request is on its way for so long
+GREETING_S = 0.25  # a new connection's first request is on its way for so long; half of what a stop waits
 MOST_DISCARDED = 64 * 1024  # of what still comes on such a connection; the rest is not even read
 SWEEP_S = 0.1
 ACCEPTS_A_TURN = 16  # hazard: hundreds of connections at once would keep what is open waiting
--- a/plovertrail/upstreams/connections.py
+++ b/plovertrail/upstreams/connections.py
@@ -19,7 +19,9 @@
 
 LONGEST_HEAD = 32 * 1024
 FRAMING = 4  # an answer with its head, what comes ahead of it, and its framing holds so many bodies at most
-IDLE_MARGIN_US = 300_000  # an upstream may close a connection while a request is on its way to it
+# the settings say when an upstream closes what has stood idle; it may do so while a request is on its way,
+# and a sidecar under a CPU limit may stand still for as long
+IDLE_MARGIN_US = 300_000
 BREAKS_MEMORY = 16  # uses of connections that were idle for about as long
 SWEEP_S = 0.1  # the shortest time between two looks for idle connections to close
 MOST_BREAKS = 0.15  # share of them that may break: a request lost costs about ten new connections
