--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,8 +10,9 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from importlib.util import cache_from_source
 from pathlib import Path
 from typing import Any
@@ -230,6 +231,48 @@
     asyncio.run(test())
 
 
+def test_twenty_that_start_at_once_are_ready_though_discovery_turns_all_away(tmp_path: Path) -> None:
+    """By the list as they last had it; none waits for a call, and each goes on calling."""
+    calls: Counter[str] = Counter()
+
+    async def crowded(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        calls["all"] += 1
+        writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+        writer.close()
+
+    async def ready(port: int) -> None:
+        while True:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            answer = await reader.read()
+            writer.close()
+            if b" 200 " in answer:
+                return
+            await asyncio.sleep(0.05)
+
+    async def test() -> None:
+        discovery = await asyncio.start_server(crowded, "127.0.0.1", 0)
+        address = f"127.0.0.1:{discovery.sockets[0].getsockname()[1]}"
+        ports = []
+        with ExitStack() as stack:
+            for number in range(20):
+                folder = tmp_path / str(number)
+                folder.mkdir()
+                path = configuration(folder, discovery=address, settings=SETTINGS | {"instances": 20})
+                ports.append(int(json.loads(path.read_text())["listen"].split(":")[1]))
+                stack.enter_context(program(path))
+            async with asyncio.timeout(2 * PATIENCE_S):
+                for port in ports:
+                    await listening(port)
+                    await ready(port)
+                while calls["all"] < 21:  # turned away, they call again
+                    await asyncio.sleep(0.05)
+        discovery.close()
+
+    asyncio.run(test())
+
+
 def test_a_stop_before_the_first_list_ends_with_0_and_refuses_what_has_come(tmp_path: Path) -> None:
     async def test() -> None:
         path = configuration(tmp_path, known=None)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -6,6 +6,7 @@
 import json
 import socket
 import struct
+import threading
 import time
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -916,6 +917,70 @@
     run(test)
 
 
+@pytest.mark.parametrize("kind", ["read", "pay", "mark"])
+def test_a_stop_under_requests_whose_upstream_hangs_answers_each_whole(kind: str) -> None:
+    """Of each effect, with a deadline shorter than the stop: the answer comes, and then the process ends."""
+    async def test() -> None:
+        short = [RequestClass(each.name, 100_000, 300_000, late_worth=0.5, effect=each.effect,
+                              group=each.group, memory_us=100_000) for each in classes()]
+        upstream = Upstream(silent)
+        async with sidecar(upstream, classes=short) as it, asyncio.timeout(PATIENCE_S):
+            readers = []
+            for _ in range(3):
+                reader, writer = await it.connect()
+                writer.write(request(kind, deadline_ms=300))
+                readers.append((reader, writer))
+            await until(lambda: bool(upstream.requests))
+            it.stop.set()
+            answers = []
+            for reader, writer in readers:
+                head, body = await read_message(reader)
+                assert b"Connection: close" in head and await reader.read() == b""
+                answers.append(status((head, body)))
+                writer.close()
+            await it.task
+            assert set(answers) <= {500, 503}
+            if kind == "pay":  # what was sent may have run, and is not refused
+                assert answers.count(500) == len(upstream.requests)
+
+    run(test)
+
+
+def test_an_answer_and_its_time_out_in_one_turn_of_the_loop_is_an_answer() -> None:
+    """The loop stands still until both are due: what has come is read before time is looked at."""
+    asked, answered = threading.Event(), threading.Event()
+    server = socket.create_server(("127.0.0.1", 0))
+
+    def upstream() -> None:
+        sock, _ = server.accept()
+        sock.recv(65_536)
+        asked.set()
+        held.wait(PATIENCE_S)
+        sock.sendall(OK)
+        answered.set()
+        sock.recv(1)
+
+    held = threading.Event()
+    thread = threading.Thread(target=upstream, daemon=True)
+    thread.start()
+
+    async def test() -> None:
+        short = [RequestClass("pay", 1_000_000, 3_000_000, late_worth=0.5, effect="at_most_once")]
+        known = listing(entry("u0", server.getsockname()[1]))
+        async with sidecar(classes=short, known=known) as it:
+            reader, writer = await it.connect()
+            writer.write(request("pay", deadline_ms=3_000))
+            await until(asked.is_set)
+            held.set()  # from here on the loop has no turn until the deadline is over
+            assert answered.wait(PATIENCE_S)
+            time.sleep(3.1)
+            assert status(await read_message(reader)) == 200
+            writer.close()
+
+    run(test)
+    server.close()
+
+
 @pytest.mark.parametrize("ends_in_ms", [0, -50, 300])
 def test_a_request_that_is_taken_while_a_stop_is_under_way_has_no_longer_than_the_process(
         ends_in_ms: int) -> None:
