A stop of the daemon waits for answers, and not for clients that rest

With lingering closes a resting client's connection counted till it had lingered; what is owed counts now, as in the platform's program. The test fails without it.

--- a/plovertrail/daemon.py
+++ b/plovertrail/daemon.py
@@ -401,7 +401,8 @@
             for front in fronts:
                 front.stop_idle()
             # hazard: a socket whose client has gone first still closes at its server, and has a line to write
-            if not (self.count() or self.sockets.table.sockets) or self.loop.time() >= ends:
+            owing = any(front.owing() for front in fronts) or self.sockets.table.sockets
+            if not owing or self.loop.time() >= ends:
                 break
             await asyncio.sleep(0.01)
         self.hooks.stop()
--- a/tests/fronts/test_connections.py
+++ b/tests/fronts/test_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from pathlib import Path
 from typing import Any
 
@@ -11,7 +12,7 @@
 
 from plovertrail import __main__ as program
 from plovertrail.decisions.interface import RequestClass
-from plovertrail.fronts import application
+from plovertrail.fronts import application, connections
 from plovertrail.fronts.connections import ClientConnection, State
 from plovertrail.upstreams.connections import ConnectionPool
 from standins import web
@@ -217,7 +218,7 @@
             if state == "stop":
                 it.stop.set()
             else:
-                monkeypatch.setitem(application_patience(), State.IDLE, 0.0)
+                monkeypatch.setitem(connections.LONGEST_S, State.IDLE, 0.0)
             assert await everything(sock) == b""
             assert not upstream.requests
             sock.close()
@@ -227,12 +228,6 @@
     run(test)
 
 
-def application_patience() -> dict[State, float]:
-    from plovertrail.fronts.connections import LONGEST_S
-
-    return LONGEST_S
-
-
 LONG = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + b"z" * 60_000
 
 
@@ -311,6 +306,24 @@
     run(test)
 
 
+def test_ordinary_clients_that_rest_do_not_hold_up_a_stop(tmp_path: Path,
+                                                           monkeypatch: pytest.MonkeyPatch) -> None:
+    """Their end is awaited for as long as connections linger, and not by the process."""
+    monkeypatch.setattr(connections, "LONGEST_LINGER_S", 600.0)
+
+    async def test() -> None:
+        async with running(tmp_path, {"main": [web.WebServer()]}) as it:
+            client = await it.connect()
+            assert (await client.ask(message("GET /"))).status == 200
+            began = time.monotonic()
+            await it.daemon.stop()
+            assert time.monotonic() - began < 10.0  # requests may take 15
+            assert await client.ended()
+            client.close()
+
+    run(test)
+
+
 def test_one_that_rests_until_it_is_ended_does_not_hold_up_the_end() -> None:
     async def test() -> None:
         async with sidecar(Upstream(answering(OK))) as it:
