Standard names for closes and backoff; no log line for each flood or refused dial

linger, abort, half_closed, list_backoff_us. What is ended at a flood or a stop is not logged as overdue, and a dial for which there is no descriptor is not logged: bad clients must not fill the log.

--- a/plovertrail/decisions/balance.py
+++ b/plovertrail/decisions/balance.py
@@ -246,7 +246,7 @@
         self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
         self.asked_list_us = now_us  # when it last was
         first_us = min(settings.ask_within_us // 2, longest_gap_us(settings))
-        self.ask_list_at(now_us + self.list_turn_us(first_us))
+        self.ask_list_at(now_us + self.list_backoff_us(first_us))
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         self.now_us = now_us
@@ -853,7 +853,7 @@
             elif self.ask_list_us != 0:  # no subscription was up: a call has failed
                 since_us = self.asked_list_us
             within_us = retry_within_us(self.settings, since_us, self.now_us)
-            self.ask_list_at(self.now_us + self.list_turn_us(within_us))
+            self.ask_list_at(self.now_us + self.list_backoff_us(within_us))
             return
         if event.kind is not api.ListKind.CACHED:
             self.list_failures = self.ask_list_us = 0
@@ -912,10 +912,11 @@
                 server.hearsay = (server.hearsay or {}) | {index: min(1.0, part)}
                 self.hearsay.add(number)
 
-    def list_turn_us(self, longest_us: int) -> int:
-        """This sidecar's turn, at random, among all that ask for the list at one moment, as after a restart
-        of the fleet or of discovery; the span doubles with each failure. Hazard: calls that come faster than
-        discovery answers all fail, and those that have waited in vain are work for it all the same."""
+    def list_backoff_us(self, longest_us: int) -> int:
+        """Backoff with full jitter: this sidecar's turn, at random, among all that ask for the list at one
+        moment, as after a restart of the fleet or of discovery; the span doubles with each failure. Hazard:
+        calls that come faster than discovery answers all fail, and what has waited in vain is work for it all
+        the same."""
         s = self.settings
         span_us = list_span_us(s.instances, s.list_calls_per_s or BORNE_PER_S)
         if self.list_failures:
--- a/plovertrail/fronts/application.py
+++ b/plovertrail/fronts/application.py
@@ -268,7 +268,7 @@
             data += b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
         self.transport.write(data)
         if last or self.extra:
-            self.end()
+            self.linger()
         else:
             self.reset()
             self.server.move(self, State.IDLE)
--- a/plovertrail/fronts/connections.py
+++ b/plovertrail/fronts/connections.py
@@ -121,7 +121,7 @@
         only_one = self.state is State.OPEN and self.answered == 0 and self.listener.crowded()
         return self.listener.stopping or only_one
 
-    def end(self) -> None:
+    def linger(self) -> None:
         """A lingering close (RFC 9112, section 9.6), only where no request is open: our sending ends behind
         what is being written, what still comes is read and dropped, and the client closes. Hazard: closing
         with bytes unread resets the connection; the client may lose its answer, and a request that crosses
@@ -153,20 +153,20 @@
         try:
             unread = self.unread()
             # hazard: its end may lie behind bytes that came while the request was open
-            gone = unread == b"" or (unread is not None and self.hung_up())
+            gone = unread == b"" or (unread is not None and self.half_closed())
         except OSError:
             gone = True
         if gone:
             self.transport.abort()  # hazard: where nothing is read any more, its end would never be
         return gone
 
-    def hung_up(self) -> bool:
+    def half_closed(self) -> bool:
         """Whether the system has its end, whatever came before."""
         poll = select.poll()
         poll.register(self.sock, select.POLLRDHUP)
         return bool(poll.poll(0))
 
-    def cut(self) -> None:
+    def abort(self) -> None:
         """End it at once, for its descriptor or because it has lingered for long enough."""
         if self.transport is None:
             self.listener.move(self, State.ENDING)  # it is cut as it comes up
@@ -191,9 +191,9 @@
         elif self.writing():
             pass
         elif self.state is State.ENDING or self.transport is None:
-            self.cut()
+            self.abort()
         elif self.quiet():
-            self.end()
+            self.linger()
 
 
 class Listener:
@@ -291,7 +291,7 @@
                     break
                 if (client.transport is not None and (half or client.size == 0)
                         and (state is State.ENDING or client.quiet()) and not client.writing()):
-                    client.cut()
+                    client.abort()
                     self.remove(client)
                     return True
         return False
@@ -330,7 +330,7 @@
             for client in list(self.clients[state]):
                 coming = state is State.FRESH and client.since > greeted
                 if client.size == 0 and not coming and client.transport is not None and client.quiet():
-                    client.end()
+                    client.linger()
 
     def owing(self) -> bool:
         """Whether any connection may still bring a request or has part of an answer to come."""
--- a/plovertrail/fronts/ordinary.py
+++ b/plovertrail/fronts/ordinary.py
@@ -368,7 +368,7 @@
         if keep:
             self.front.move(self, State.IDLE)
         else:
-            self.end()
+            self.linger()
 
     def switch(self, socket: PendingSocket, result: Result, tunnel: Tunnel) -> None:
         """Both handshakes are right: from now on this is a socket."""
--- a/plovertrail/host.py
+++ b/plovertrail/host.py
@@ -298,8 +298,8 @@
     def end(self, ident: int) -> None:
         """No more time is left for it: a request that is still open has its final answer now."""
         request = self.requests.get(ident)
-        if request is not None:
-            self._overdue(request)
+        if request is not None and not request.over:
+            self._out_of_time(request)
 
     # A process that stood still
 
@@ -480,12 +480,15 @@
     def _overdue(self, request: Request) -> None:
         if not request.over:
             log.warning("a request was overdue")
-            answer = Answer(Verdict.FAILED, result=request.last)
-            if not request.attempts:  # nothing has run
-                answer = Answer(Verdict.REFUSED, self._retry_after_us(request.pools[0]))
-            self._answer(request.ident, answer)
-            if request.pool is not None:
-                self._tell(request.pool, api.RequestGone(request.ident))
+            self._out_of_time(request)
+
+    def _out_of_time(self, request: Request) -> None:
+        answer = Answer(Verdict.FAILED, result=request.last)
+        if not request.attempts:  # nothing has run
+            answer = Answer(Verdict.REFUSED, self._retry_after_us(request.pools[0]))
+        self._answer(request.ident, answer)
+        if request.pool is not None:
+            self._tell(request.pool, api.RequestGone(request.ident))
 
     def _gave_up(self, pool: ServerPool, ident: int, answer: Answer) -> None:
         """A pool's module gives a request up."""
--- a/plovertrail/upstreams/connections.py
+++ b/plovertrail/upstreams/connections.py
@@ -391,8 +391,7 @@
         try:
             # hazard: one that is made only as its dial begins is not there yet when its upstream is forgotten
             made = self.make(upstream, attempt)
-        except OSError as error:
-            log.warning("no connection to upstream %d: %r", upstream, error)
+        except OSError:
             self.loop.call_soon(self.not_sent, attempt, Outcome.CONNECT_FAILED)
             return attempt
         task = self.loop.create_task(self.dial(made, address, attempt))
