Clients that read nothing keep nobody out: the longest of them makes room

Found on reading the change once more: since a connection whose client is slow to read is spared when room is made, for 30 s; as many such clients as the limit would have kept all others out. It goes now after all others. The test fails without that.

--- a/plovertrail/fronts/connections.py
+++ b/plovertrail/fronts/connections.py
@@ -283,18 +283,26 @@
 
     def make_room(self) -> bool:
         """Of the connections with no request open the one goes that has been of no use for longest, half a
-        request last. Hazard: without a bound no descriptor would be left for upstreams and discovery."""
+        request last, and those that still read an answer after all others. Hazard: without a bound no
+        descriptor would be left for upstreams and discovery."""
+        client = self.least_use(reading=False) or self.least_use(reading=True)
+        if client is None:
+            return False
+        client.abort()
+        self.remove(client)
+        return True
+
+    def least_use(self, reading: bool) -> ClientConnection | None:
+        """The one to go, of those that read an answer, or that don't."""
         now = time.monotonic()
         for state, age_s, half in LEAST_USE:
             for client in self.clients[state]:
                 if client.since > now - age_s:
                     break
                 if (client.transport is not None and (half or client.size == 0)
-                        and (state is State.ENDING or client.quiet()) and not client.writing()):
-                    client.abort()
-                    self.remove(client)
-                    return True
-        return False
+                        and client.writing() is reading and (state is State.ENDING or client.quiet())):
+                    return client
+        return None
 
     def move(self, client: ClientConnection, state: State) -> None:
         """Its state changes."""
--- a/tests/fronts/test_connections.py
+++ b/tests/fronts/test_connections.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -273,6 +274,40 @@
     run(test)
 
 
+def test_clients_that_read_nothing_keep_nobody_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    """As many of them as there may be clients: the one that has read for longest goes."""
+    make = application.Server.connection
+
+    def narrow(server: application.Server, sock: socket.socket) -> application.Client:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+        return make(server, sock)
+
+    monkeypatch.setattr(application.Server, "connection", narrow)
+    servers: list[application.Server] = captured(monkeypatch, "Server")
+
+    async def test() -> None:
+        upstream = Upstream(answering(LONG))
+
+        def asked(number: int) -> bool:
+            return len(upstream.requests) > number
+
+        async with sidecar(upstream) as it:  # 200 descriptors
+            slow = []
+            for number in range(servers[0].most_clients + 10):
+                sock = socket.socket()
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+                sock.setblocking(False)
+                await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", it.port))
+                sock.send(request())
+                slow.append(sock)
+                await until(partial(asked, number))  # for less long than an answer may be read
+            assert servers[0].count() <= servers[0].most_clients
+            for sock in slow:
+                sock.close()
+
+    run(test)
+
+
 def test_a_connection_that_came_just_before_the_stop_has_its_request_served() -> None:
     async def test() -> None:
         async with sidecar(Upstream(answering(OK))) as it:
