--- a/tests/upstreams/test_connections.py
+++ b/tests/upstreams/test_connections.py
@@ -87,6 +87,26 @@
     run(test)
 
 
+def test_a_burst_of_closes_while_dials_are_out_sends_nothing_and_leaves_nothing_behind() -> None:
+    async def test() -> None:
+        server = WebServer()
+        await server.start()
+        pool = ConnectionPool(10_000_000, 1_000_000, 40)
+        ends: list[Result] = []
+        gone: list[bool] = []
+        for _ in range(20):
+            call = get()
+            call.left = lambda: bool(gone)
+            pool.start(1, ("127.0.0.1", server.port), call, 1_000_000, ends.append)
+        gone.append(True)  # all at once, before any connection is up
+        await until(lambda: len(ends) == 20)
+        assert {end.outcome for end in ends} == {Outcome.NOT_SENT} and not server.arrivals
+        assert len(pool.idle[1]) == pool.count == 20  # what has come up is of use to others
+        server.stop()
+
+    run(test)
+
+
 def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_sent() -> None:
     async def test() -> None:
         server = WebServer()
