--- a/review/rig.py
+++ b/review/rig.py
@@ -14,9 +14,10 @@
 import signal
 import socket
 import subprocess
+import tempfile
 import time
 import tomllib
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -111,6 +112,8 @@
         self.arrivals: list[tuple[str, float]] = []  # request id, time of the first byte
         self.runs: list[Run] = []
         self.in_work: set[str] = set()
+        self.made: dict[str, bytes] = {}  # the body that was made for each request
+        self.spoilt: set[str] = set()  # the requests whose answers were sent spoilt
         self.fails: Callable[[str], bool] = lambda _request_id: False  # runs a request and answers 500
         self.connections = 0
         self.writers: set[asyncio.StreamWriter] = set()
@@ -163,11 +166,18 @@
         if self.fails(request_id):
             writer.write(b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
             return True
-        answer = request_id.encode()
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(answer), answer))
+        writer.write(self.answer(request_id))
         await writer.drain()
+        if request_id in self.spoilt:  # the connection stays open and is of no further use
+            await reader.read()
+            return False
         return headers.get(b"connection", b"").lower() != b"close"
 
+    def answer(self, request_id: str) -> bytes:
+        """Return the answer to a request; its body names the request."""
+        body = self.made[request_id] = request_id.encode()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
     def _run_unless_repeat(self, request_id: str, key: str, size: int) -> None:
         now_s = self.record.now()
         if key and self.memory.is_repeat(key, now_s):
@@ -521,3 +531,29 @@
         else:
             self.idle.append(streams)
         return True
+
+
+# A case
+
+Play = Callable[[Record, Path], Coroutine[Any, Any, int]]
+
+
+async def _play_until_told_to_end(play: Play, record: Record, folder: Path) -> int:
+    """Play a case; SIGTERM ends it early, and it ends what it has started."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await play(record, folder)
+
+
+def run_case(file: str, play: Play) -> int:
+    """Run the case of a file with its record beside it; return the exit status."""
+    record = Record(Path(file).resolve().parent / "record.txt")
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            return asyncio.run(_play_until_told_to_end(play, record, Path(folder)))
+    except (OSError, TimeoutError, asyncio.CancelledError) as error:
+        record.write(f"could not run: {error!r}")
+        return CANNOT_RUN
+    finally:
+        record.close()
