Review: each case names the path of its record

Need: a reader of a case should see where its record goes. Change: the path is given by the case and not made up by the rig.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -105,4 +105,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(__file__, play))
+    sys.exit(run_case(Path(__file__).resolve().with_name("record.txt"), play))
--- a/review/rig.py
+++ b/review/rig.py
@@ -546,9 +546,9 @@
     return await play(record, folder)
 
 
-def run_case(file: str, play: Play) -> int:
-    """Run the case of a file with its record beside it; return the exit status."""
-    record = Record(Path(file).resolve().parent / "record.txt")
+def run_case(record_path: Path, play: Play) -> int:
+    """Run a case, with its record at this path; return the exit status."""
+    record = Record(record_path)
     try:
         with tempfile.TemporaryDirectory() as folder:
             return asyncio.run(_play_until_told_to_end(play, record, Path(folder)))
