The limit on a request's head holds also where one read brings all of it

Cause: `_parse` compared the bytes received with MAX_HEAD_BYTES after the parser had taken the whole read (up to 256 KB), and only if the head had not ended. Whether a head of over 16 KiB passed depended on how the network had cut it. Change: the size of target and headers is checked at each callback of the parser. Why it works: no more than the limit and one header are ever kept, whatever a read holds.

--- a/plovertrail/listeners/platform_listener.py
+++ b/plovertrail/listeners/platform_listener.py
@@ -27,6 +27,7 @@
 MAX_BODY_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 16 * 1024
 MAX_PIPELINED_BYTES = 2 * (MAX_BODY_BYTES + MAX_HEAD_BYTES)  # one pipelined request always fits
+HEAD_TOO_LONG = "the head is too long"
 READINESS_TARGET = b"/up"
 SUPPORTED_VERSIONS = ("1.0", "1.1")
 REASONS = {
@@ -78,9 +79,13 @@
         """Parser callback: a further piece of the request target."""
         if not self.complete:
             self.target += url
+            self._check_head_size()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Parser callback: one header. Raises InvalidRequestError if it announces a body that is rejected."""
+        """Parser callback: one header.
+
+        Raises InvalidRequestError if the head is too long, or if it announces a body that is rejected.
+        """
         if self.complete:
             return
         lower_name = name.lower()
@@ -90,6 +95,12 @@
         if lower_name == b"content-length" and int(value) > MAX_BODY_BYTES:
             raise InvalidRequestError(413, "the body is too long")  # without reading the body
         self.headers.append(name, value)
+        self._check_head_size()
+
+    def _check_head_size(self) -> None:
+        """Raise InvalidRequestError if the head is too long, also where one read has brought all of it."""
+        if len(self.target) + self.headers.size > MAX_HEAD_BYTES:
+            raise InvalidRequestError(413, HEAD_TOO_LONG)
 
     def on_headers_complete(self) -> None:
         """Parser callback: the head is complete."""
@@ -153,7 +164,7 @@
             # if the bytes after a complete request are no request, its length was wrong
             raise InvalidRequestError(400, "malformed request") from None
         if not self.head_complete and self.received_bytes > MAX_HEAD_BYTES:
-            raise InvalidRequestError(413, "the head is too long")
+            raise InvalidRequestError(413, HEAD_TOO_LONG)  # of one long header that has not ended
 
     def _submit(self) -> None:
         """Pass a complete request to the dispatcher; raises InvalidRequestError."""
--- a/tests/sidecar/test_bad_input.py
+++ b/tests/sidecar/test_bad_input.py
@@ -58,6 +58,9 @@
         (request("pay").replace(b"Content-Length: 0", b"Content-Length: -1"), 400),
         (request("pay", body=b"x" * 70_000), 413),
         (b"GET /read HTTP/1.1\r\nX-Endless: " + b"x" * 20_000, 413),
+        (request("read", extra="ab:cd\r\n" * 3_000), 413),  # complete, and most of it in one read
+        (request("read", extra="X-Long: " + "x" * 20_000 + "\r\n"), 413),
+        (request("read").replace(b"?x=1", b"?" + b"x" * 20_000), 413),
     ],
 )
 def test_input_that_is_not_taken_gets_an_error_and_the_end_of_its_connection(
@@ -78,6 +81,18 @@
     run(test)
 
 
+@pytest.mark.parametrize("extra", ["ab:cd\r\n" * 2_000, "X-Long: " + "x" * 15_000 + "\r\n"])
+def test_a_head_within_the_limit_is_served_however_many_headers_it_has(extra: str) -> None:
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        async with sidecar(upstream) as it:
+            assert status(await it.ask(request(extra=extra))) == 200
+        head, _body = upstream.requests[0]
+        assert extra.partition(":")[0].encode() in head
+
+    run(test)
+
+
 def test_of_pipelined_requests_the_first_is_served_and_the_next_turned_away() -> None:
     async def test() -> None:
         upstream = Upstream(answering(OK))
--- a/tests/sidecar/test_memory_limit.py
+++ b/tests/sidecar/test_memory_limit.py
@@ -34,6 +34,7 @@
 SHAPES = {
     "a head of many short headers": Shape(200, 512, 64, (HEAD + SHORT_HEADER * 16_000)[:16_000]),
     "the same with the fewest bytes a header": Shape(200, 512, 64, (HEAD + b"a:\r\n" * 16_000)[:16_000]),
+    "a head of 200 KB in one read": Shape(200, 512, 64, HEAD + SHORT_HEADER * 30_000),
     "a head of one long header": Shape(200, 512, 64, (HEAD + b"X-Long: " + b"v" * 16_000)[:16_000]),
 }
 
