A response that goes on behind its length is not served cut off, and good ones still are

Hypotheses: the sidecar doesn't see the rest (it comes later), or sees it and accepts.

Cause: Content-Length was believed although bytes behind it contradict it. Change: `ResponseReader` feeds its parser no more than one response has (it stops at empty lines, and at the length), so what is behind is known to the byte, in all framings. `decisions/response_excess.py` decides whether it may be the rest of the body: another message (also one of which only the end of its head can be read), what follows a whole JSON document, and binary behind text are not; a document that is whole only with it, chunks behind the last chunk, and all that nothing tells apart are. Such an attempt ends as one that may have run (`response longer than told`, logged and counted), so an unsafe request fails and a keyed one may go to its group again. Why it works: a rest that has come is never dropped in silence.

--- /dev/null
+++ b/plovertrail/decisions/response_excess.py
@@ -0,0 +1,64 @@
+"""Decides whether the bytes behind a response are the rest of its body, so that its length is too small.
+
+An endpoint may write a length that counts characters and not bytes, or the length of another body. Cut off
+there, the response would be served as a good one. Other endpoints send a good response and more than belongs
+to it: a second copy, or noise. Where nothing tells these apart, the bytes are taken for the rest of the body:
+the client can tell a failed request from a served one, but not a body that was cut off.
+"""
+
+from __future__ import annotations
+
+import codecs
+import json
+import re
+
+MESSAGE_START = b"HTTP/1."
+MIN_MESSAGE_START = 4  # bytes of it that have to have come
+HEAD_END = b"\r\n\r\n"
+CHUNK_START = re.compile(rb"(?:\r\n)?[0-9A-Fa-f]+[ \t]*(?:;[^\r\n]*)?\r\n")
+CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
+MIN_TEXT_BYTES = 16  # from which a body counts as text; a few bytes of any body may look like it
+DOCUMENT_STARTS = (b"{", b"[")  # of JSON; numbers and words are whole wherever they are cut off
+DOCUMENT_GOES_ON = (b"", b",", *DOCUMENT_STARTS)
+
+
+def is_rest_of_body(body: bytes, behind: bytes, chunked: bool) -> bool:
+    """Return whether the bytes behind a complete response may be the rest of its body."""
+    if _starts_message(behind):
+        return False
+    if chunked and CHUNK_START.match(behind):
+        return True
+    if _is_document(body):
+        return behind.lstrip()[:1] in DOCUMENT_GOES_ON
+    if _is_document(body + behind):
+        return True
+    if behind.strip() and behind.endswith(HEAD_END):
+        return False  # a message of which nothing but the end of its head can be read
+    return not (len(body) >= MIN_TEXT_BYTES and _is_text(body) and not _is_text(body + behind))
+
+
+def _starts_message(data: bytes) -> bool:
+    start = data[: len(MESSAGE_START)]
+    return len(start) >= MIN_MESSAGE_START and MESSAGE_START.startswith(start)
+
+
+def _is_document(data: bytes) -> bool:
+    """Whether these bytes are a whole JSON document."""
+    if not data.lstrip().startswith(DOCUMENT_STARTS):
+        return False
+    try:
+        json.loads(data)
+    except (ValueError, RecursionError):
+        return False
+    return True
+
+
+def _is_text(data: bytes) -> bool:
+    """Whether these bytes are text in UTF-8; its last character may be cut off."""
+    if CONTROL_BYTE.search(data):
+        return False
+    try:
+        codecs.getincrementaldecoder("utf-8")().decode(data)
+    except UnicodeDecodeError:
+        return False
+    return True
--- a/plovertrail/upstreams/connection.py
+++ b/plovertrail/upstreams/connection.py
@@ -13,6 +13,7 @@
 from plovertrail.clock import clock_us
 from plovertrail.decisions.events import Outcome
 from plovertrail.decisions.response_attribution import ResponseAttribution, ResponseTiming
+from plovertrail.decisions.response_excess import is_rest_of_body
 from plovertrail.dispatch.types import ConnectionUse, TransportResult, Tunnel, WebSocketHandshake
 from plovertrail.problem_log import ProblemLog
 from plovertrail.upstreams.attempt import Attempt
@@ -138,16 +139,15 @@
         malformed = False
         try:
             reader.feed(data)
-        except httptools.HttpParserUpgrade as upgrade:
+        except httptools.HttpParserUpgrade:
             if self.attempt.handshake is not None and reader.switched_protocols:
-                self._finish_upgrade(self.attempt.handshake, reader, data[upgrade.args[0] :])
+                self._finish_upgrade(self.attempt.handshake, reader)
                 return
             malformed = True
         except Exception:  # an exception in one of our callbacks need not have a type of the parser's
             malformed = True
         if malformed or not reader.reusable:
             self.closed = True  # further bytes would be parsed as the next response
-            reader.followed |= malformed
         if reader.complete:
             self._finish_complete(reader)
         elif malformed or reader.switched_protocols or reader.too_long:
@@ -248,8 +248,11 @@
         if self.unsent and not self.pool.rules.may_precede_request:
             self._finish_unsent(reader)
             return
-        if reader.followed:
-            self.pool.strays.behind_response(self.history, self._request_name())
+        if reader.behind:
+            if not reader.head_only and is_rest_of_body(bytes(reader.body), reader.behind, reader.chunked):
+                self._finish_longer_than_told(reader)
+                return
+            self.pool.strays.behind_response(self.history, reader.behind, self._request_name())
         response = TimedResponse(reader, self._timing(reader))
         decision = self.deferral.evaluate(response, stream_ended)
         if decision is Decision.DEFER:
@@ -294,6 +297,14 @@
         self.close("answered_before_sent")
         self._finish(Outcome.CONNECT_FAILED)
 
+    def _finish_longer_than_told(self, reader: ResponseReader) -> None:
+        """End an attempt that may have run: the length of its response is too small, and would cut it off."""
+        self.pool.strays.rest_of_body(self.history, reader, self._request_name())
+        reader.release()
+        self.reader = None  # no part of it may be passed on
+        self.close("response_longer_than_told")
+        self._finish(Outcome.MALFORMED)
+
     def _timing(self, reader: ResponseReader) -> ResponseTiming:
         """When a response came, for the decision whether it can be the one to the current request."""
         assert self.attempt is not None
@@ -323,7 +334,7 @@
                 outcome = Outcome.ERROR  # neither a WebSocket nor a rejection: it may or may not have run
         self._finish(outcome)
 
-    def _finish_upgrade(self, handshake: WebSocketHandshake, reader: ResponseReader, received: bytes) -> None:
+    def _finish_upgrade(self, handshake: WebSocketHandshake, reader: ResponseReader) -> None:
         """Hand the connection over as a tunnel if the endpoint's 101 is valid, else end with MALFORMED."""
         attempt = self.attempt
         transport = self.transport
@@ -343,7 +354,7 @@
         reader.release()
         self.pool.remove(self)
         transport.pause_reading()
-        tunnel = Tunnel(transport, received, subprotocol)
+        tunnel = Tunnel(transport, reader.behind, subprotocol)
         attempt.end(TransportResult(Outcome.OK, 101, headers, tunnel=tunnel, use=self.use))
 
     def _finish(self, outcome: Outcome) -> None:
--- a/plovertrail/upstreams/deferred_response.py
+++ b/plovertrail/upstreams/deferred_response.py
@@ -76,7 +76,7 @@
             return Decision.ACCEPT
         if stream_ended:
             return self._evaluate_last(response, stream_ended)
-        if response.reader.followed:
+        if response.reader.behind:
             return Decision.AMBIGUOUS
         self.deferred = response
         self._timer = asyncio.get_running_loop().call_later(deferral_us / 1e6, self.on_expiry)
--- a/plovertrail/upstreams/response_reader.py
+++ b/plovertrail/upstreams/response_reader.py
@@ -10,6 +10,8 @@
 from plovertrail.http1.header_block import HeaderBlock
 
 MAX_HEAD_BYTES = 32 * 1024
+EMPTY_LINE = b"\r\n\r\n"  # ends heads and chunked bodies
+LAST_BYTES = len(EMPTY_LINE) - 1
 FRAMING_FACTOR = 4  # limit of a whole response, with head and framing, as a multiple of max_body_bytes
 
 
@@ -54,25 +56,60 @@
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.complete = False
         self.reusable = True  # the connection may carry another request after this response
-        self.followed = False  # further bytes came right behind the response
+        self.behind = b""  # bytes that came right behind the response
         self.switched_protocols = False  # the response is a 101 to a handshake
         self.status = 0
         self.not_run = False  # the endpoint sent X-Not-Run: 1
         self._headers: list[tuple[bytes, bytes]] = []  # parsed from the bytes that came last
         self._earlier_headers = HeaderBlock()
-        self.framed = False  # the head gives the length of the body, or it is chunked
+        self.body_bytes: int | None = None  # the length that the head gives for the body
+        self.chunked = False
         self.head_done = False
         self.body = bytearray()
         self.received = 0
+        self._last_bytes = b""  # before those that are being parsed
 
     def feed(self, data: bytes) -> None:
-        """Parse more bytes; raises httptools' errors, and ResponseTooLongError."""
+        """Parse bytes up to the end of the response; raises httptools' errors and ResponseTooLongError."""
         assert self.parser is not None
         self.received += len(data)
-        self.parser.feed_data(data)
-        if not self.complete:
-            self._earlier_headers.extend(self._headers)
-            self._headers.clear()
+        begin = 0
+        while begin < len(data) and not self.complete:
+            end = self._next_stop(data, begin)
+            try:
+                self.parser.feed_data(data[begin:end])
+            except httptools.HttpParserUpgrade as upgrade:
+                self.behind = data[begin + upgrade.args[0] :]
+                raise
+            begin = end
+        if self.complete:
+            self.behind = data[begin:]
+            self.reusable = self.reusable and not self.behind
+            return
+        self._last_bytes = (self._last_bytes + data[-LAST_BYTES:])[-LAST_BYTES:]
+        self._earlier_headers.extend(self._headers)
+        self._headers.clear()
+
+    def _next_stop(self, data: bytes, begin: int) -> int:
+        """Return the first position behind `begin` at which the response may be complete.
+
+        The parser does not tell how many bytes it has used, so it is fed no more than one response has.
+        """
+        if self.head_done and not self.chunked:
+            rest = len(data) if self.body_bytes is None else self.body_bytes - len(self.body)
+            return min(len(data), begin + max(rest, 1))
+        if begin == 0 and self._last_bytes:
+            # the empty line may have begun with the bytes before
+            at = (self._last_bytes + data[:LAST_BYTES]).find(EMPTY_LINE)
+            if at >= 0:
+                return at + len(EMPTY_LINE) - len(self._last_bytes)
+        at = data.find(EMPTY_LINE, begin)
+        return len(data) if at < 0 else at + len(EMPTY_LINE)
+
+    @property
+    def framed(self) -> bool:
+        """Whether the head gives the length of the body, or it is chunked."""
+        return self.chunked or self.body_bytes is not None
 
     @property
     def headers(self) -> list[tuple[bytes, bytes]]:
@@ -102,23 +139,18 @@
 
     # Callbacks of the parser
 
-    def on_message_begin(self) -> None:
-        """Handle the start of a response; after a second response the connection can't be reused."""
-        if self.complete:
-            self._record_following_bytes()
-
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; raises ResponseTooLongError if Content-Length exceeds the limit."""
         if self.complete or self.head_done:
             return  # a header of a second response, or a trailer after a chunked body
         lower = name.lower()
         if lower == b"content-length":
-            self.framed = True
-            if int(value) > self.rules.max_body_bytes and not self.head_only:
+            self.body_bytes = int(value)
+            if self.body_bytes > self.rules.max_body_bytes and not self.head_only:
                 # Rejected before the body arrives, which could take hours.
                 raise ResponseTooLongError("the response is too long")
         elif lower == b"transfer-encoding":
-            self.framed = True
+            self.chunked = True
         elif lower == b"x-not-run":
             self.not_run = value.strip() == b"1"
         self._headers.append((name, value))
@@ -131,16 +163,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body; raises ResponseTooLongError if it exceeds the limit."""
-        if not self.complete:
-            self.body += data
-            if len(self.body) > self.rules.max_body_bytes:
-                raise ResponseTooLongError("the response is too long")
-        else:
-            self._record_following_bytes()  # they would be parsed as the next response
-
-    def _record_following_bytes(self) -> None:
-        self.reusable = False
-        self.followed = True
+        self.body += data
+        if len(self.body) > self.rules.max_body_bytes:
+            raise ResponseTooLongError("the response is too long")
 
     def on_message_complete(self) -> None:
         """Handle the end of a response: a final one, or an interim one that a final one follows.
@@ -157,7 +182,8 @@
         if self.status < 200:
             self.not_run = False
             self.head_done = False
-            self.framed = False
+            self.body_bytes = None
+            self.chunked = False
             self._headers = []
             self._earlier_headers = HeaderBlock()
             return
--- a/plovertrail/upstreams/stray_messages.py
+++ b/plovertrail/upstreams/stray_messages.py
@@ -44,10 +44,21 @@
             self.attribution.record_unprompted_stray(now_us - history.connected_us, now_us)
         self.report(history, now_us - since_us, data, request)
 
-    def behind_response(self, history: ConnectionHistory, request: str) -> None:
-        """Record bytes that came together with a response."""
+    def behind_response(self, history: ConnectionHistory, data: bytes, request: str) -> None:
+        """Record bytes that came together with a response, and do not belong to it."""
         self.attribution.record_late_stray(0, clock_us())
-        self.report(history, 0, b"", request)
+        self.report(history, 0, data, request)
+
+    def rest_of_body(self, history: ConnectionHistory, reader: ResponseReader, request: str) -> None:
+        """Count and log a response whose body goes on behind the length that it gives."""
+        self.problems.report(
+            "response_longer_than_told",
+            lambda: (
+                f"endpoint={history.endpoint_id} connection={history.number} request={request}"
+                f" status={reader.status} body={len(reader.body)} chunked={reader.chunked}"
+                f" behind={len(reader.behind)} first_line={_first_line(reader.behind)}"
+            ),
+        )
 
     def before_request_was_sent(self, history: ConnectionHistory, after_us: int, request: str) -> None:
         """Record a response that came while part of its request was still to be sent."""
--- a/tests/listeners/test_http_listener.py
+++ b/tests/listeners/test_http_listener.py
@@ -187,6 +187,21 @@
     run(test)
 
 
+# Guards against clients that are served a body cut off at a length that is too small.
+def test_a_response_longer_than_its_length_is_reported_as_502(tmp_path: Path) -> None:
+    def script(_server: WebServer, arrival: Arrival, _line: Line) -> bytes:
+        return OK.replace(b"Length: 5", b"Length: 4") if arrival.target == b"/buy/cut" else OK
+
+    async def test() -> None:
+        server = WebServer(script)
+        async with running(tmp_path, {"main": [server]}) as it:
+            for _ in range(MIN_SAMPLES):
+                assert (await it.ask(message("POST /buy/whole"))).status == 200
+            assert (await it.ask(message("POST /buy/cut"))).status == 502
+
+    run(test)
+
+
 def test_http_1_0_keep_alive_and_close(tmp_path: Path) -> None:
     async def test() -> None:
         async with running(tmp_path, {"main": [WebServer()]}) as it:
