A malformed configuration never ends the task that follows it, and port 70000 is no address

After a file in which `discovery` or `listen` is null, no later file is read: the sidecar stays at a discovery that the platform has moved.

Cause: `follow_configuration` caught a list of exception types. By a script over the new test's files on the code before: discovery null, listen null, discovery a list (AttributeError), a time of 1e999 (OverflowError) and 100,000 brackets (RecursionError) end the task; 127.0.0.1:70000 is accepted, and then its connect fails with another error than OSError. Change: `load` turns whatever is wrong with a file into one `ConfigurationError`; ports end at 65535. Files that are applied or rejected are counted and logged (`configuration applied discovery=`, `configuration rejected`). Why it works: no exception of reading or checking a file has another way out of `load`.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -12,7 +12,6 @@
 
 from plovertrail.clock import clock_us
 from plovertrail.config import platform as config
-from plovertrail.config.settings import SettingsError
 from plovertrail.dispatch.dispatcher import Dispatcher
 from plovertrail.listeners.platform_listener import PlatformListener
 from plovertrail.logs import log_to_stderr
@@ -23,7 +22,6 @@
 
 log = logging.getLogger(__name__)
 
-CONFIGURATION_ERRORS = (OSError, KeyError, TypeError, ValueError, SettingsError)
 # The shutdown times are given in "Figures" on the platform's protocol page. After SIGTERM new connections
 # arrive for up to NEW_CONNECTIONS_S. SIGKILL follows 0.7 s after the longest deadline, or 0.7 s after
 # MAX_DEADLINE_S if that is shorter. The platform counts from sending SIGTERM, this program from receiving
@@ -38,16 +36,23 @@
 INCOMPLETE_REQUESTS_SHARE = 1 / 8  # of the memory limit, for bytes of requests that are not complete
 
 
-async def follow_configuration(path: str, reload: asyncio.Event, discovery: Discovery) -> None:
+async def follow_configuration(
+    current: config.Config, reload: asyncio.Event, discovery: Discovery, problems: ProblemLog
+) -> None:
     """Read the configuration again on each reload; only the address of discovery is applied."""
     while True:
         await reload.wait()
         reload.clear()
         try:
-            discovery.change_address(config.load(path).discovery)
-        except CONFIGURATION_ERRORS as error:
+            current = config.load(current.path)
+        except config.ConfigurationError as error:
             # a missing or partly written file must not affect requests or the endpoint list
-            log.warning("configuration unreadable, the configuration in force stays error=%r", error)
+            problems.count("configurations_rejected")
+            log.warning("configuration rejected, the one in force stays error=%s", error)
+            continue
+        problems.count("configurations_applied")
+        log.info("configuration applied discovery=%s:%d", *current.discovery)
+        discovery.change_address(current.discovery)
 
 
 async def log_counters(*logs: ProblemLog) -> None:
@@ -110,7 +115,7 @@
         max_clients=settings.sockets // 2,
         max_incomplete_bytes=int(settings.memory_bytes * INCOMPLETE_REQUESTS_SHARE),
     )
-    reload_task = loop.create_task(follow_configuration(settings.path, reload, discovery))
+    reload_task = loop.create_task(follow_configuration(settings, reload, discovery, dispatcher.problems))
     counters_task = loop.create_task(log_counters(dispatcher.problems, connections.problems))
     await listen(listener, settings.listen, stop)
     await stop.wait()
@@ -168,8 +173,11 @@
     log_to_stderr()
     try:
         settings = config.load(os.environ["BALANCER_CONFIG"])
-    except CONFIGURATION_ERRORS as error:
-        print(f"plovertrail: configuration: {error!r}", file=sys.stderr)
+    except KeyError:
+        print("plovertrail: configuration: BALANCER_CONFIG is not set", file=sys.stderr)
+        return 2
+    except config.ConfigurationError as error:
+        print(f"plovertrail: configuration: {error}", file=sys.stderr)
         return 2
     try:
         with asyncio.Runner(loop_factory=new_event_loop) as runner:
--- a/plovertrail/config/platform.py
+++ b/plovertrail/config/platform.py
@@ -12,6 +12,11 @@
 
 MEBIBYTE = 1024 * 1024
 DEFAULT_MEMORY_MB = 192
+MAX_PORT = 65_535
+
+
+class ConfigurationError(Exception):
+    """A configuration file that is not used; says why in one line."""
 
 
 @dataclass(slots=True)
@@ -50,15 +55,21 @@
 def parse_address(text: str) -> tuple[str, int]:
     """The two parts of `host:port`."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdecimal():
+    if not colon or not host or not port.isdecimal() or int(port) > MAX_PORT:
         raise ValueError(f"expected host:port, got {text!r}")
     return host, int(port)
 
 
 def load(path: str) -> Config:
-    """Read and check the file; raises ValueError, KeyError or settings.SettingsError on what is malformed."""
-    with open(path, encoding="utf-8") as file:
-        raw = json.load(file)
+    """Read and check the file; raises ConfigurationError."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            return _parse(json.load(file), path)
+    except Exception as error:  # whatever is wrong with a file, it must not end the process that reads it
+        raise ConfigurationError(f"{type(error).__name__}: {error}") from error
+
+
+def _parse(raw: Any, path: str) -> Config:
     settings = raw["settings"]
     pairs = flatten(settings)
     return Config(
--- a/tests/sidecar/test_reconfiguration.py
+++ b/tests/sidecar/test_reconfiguration.py
@@ -52,7 +52,7 @@
             writer.write(request("pay"))
             await until(lambda: len(old.requests) == 1)
             it.reload.set()
-            await until(lambda: "configuration unreadable" in caplog.text)  # the old one stays
+            await until(lambda: "configuration rejected" in caplog.text)  # the old one stays
             assert len(first.calls) == 1
             configuration(tmp_path, discovery=f"127.0.0.1:{second.port}")
             it.reload.set()
