A configuration that lacks a key of the one in force is rejected whole at SIGHUP

Hypotheses: the file is applied although it lacks a key; or it is rejected, and the watch was ended before the check, or ends for another reason.

Cause: `load` fills in defaults for keys that the platform always writes (30 of the keys of the test's file, one at a time). Change: `load_successor` compares a new file with the one in force, key by key, also in the objects of lists: what is missing or null rejects it whole and is named in the log. Classes and tenants may come and go; keys that the platform's pages call optional, and `known`, may be absent. Why it works: no list of keys of one deployment is written down, and keys that the program doesn't read count too, as their absence shows a file that was cut off just as well.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -44,7 +44,7 @@
         await reload.wait()
         reload.clear()
         try:
-            current = config.load(current.path)
+            current = config.load_successor(current.path, current)
         except config.ConfigurationError as error:
             # a missing or partly written file must not affect requests or the endpoint list
             problems.count("configurations_rejected")
--- a/plovertrail/config/platform.py
+++ b/plovertrail/config/platform.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from plovertrail.config.settings import settings_from_pairs
@@ -13,6 +13,8 @@
 MEBIBYTE = 1024 * 1024
 DEFAULT_MEMORY_MB = 192
 MAX_PORT = 65_535
+# which the platform may leave out of a complete file
+OPTIONAL_KEYS = frozenset(("known", "aim-stretch", "passes-deadline", "warm-keys", "fleet"))
 
 
 class ConfigurationError(Exception):
@@ -33,6 +35,7 @@
     idle_us: int  # upstreams close a connection that has been idle for this long
     known: Any  # the upstream list as last had, in discovery's form
     memory_bytes: int = DEFAULT_MEMORY_MB * MEBIBYTE  # over which the platform kills the process
+    document: Mapping[str, Any] = field(default_factory=dict)  # the file's content, without the known list
     path: str = ""  # the file, to be read again on SIGHUP
 
 
@@ -60,6 +63,43 @@
     return host, int(port)
 
 
+def missing_keys(expected: object, given: object, path: str = "") -> list[str]:
+    """The paths of the keys that one part of a file has and the same part of another lacks.
+
+    A key whose value is null is lacking. Each object of a list needs the keys that all objects of the
+    expected list have, but the lists may have different lengths.
+    """
+    if isinstance(expected, Mapping):
+        return _missing_of_object(expected, given, path)
+    if not isinstance(expected, list) or not expected:
+        return []
+    if not isinstance(given, list):
+        return [path]
+    if not all(isinstance(item, Mapping) for item in expected):
+        return []
+    common = {key: value for key, value in expected[0].items() if all(key in item for item in expected)}
+    return [
+        missing
+        for index, item in enumerate(given)
+        for missing in _missing_of_object(common, item, f"{path}[{index}]")
+    ]
+
+
+def _missing_of_object(expected: Mapping[str, Any], given: object, path: str) -> list[str]:
+    if not isinstance(given, Mapping):
+        return [path]
+    missing: list[str] = []
+    for key, value in expected.items():
+        key_path = f"{path}.{key}" if path else key
+        if key in OPTIONAL_KEYS or value is None:
+            continue
+        if given.get(key) is None:
+            missing.append(key_path)
+        else:
+            missing += missing_keys(value, given[key], key_path)
+    return missing
+
+
 def load(path: str) -> Config:
     """Read and check the file; raises ConfigurationError."""
     try:
@@ -69,6 +109,18 @@
         raise ConfigurationError(f"{type(error).__name__}: {error}") from error
 
 
+def load_successor(path: str, current: Config) -> Config:
+    """Read and check a file that is to replace the one in force; raises ConfigurationError.
+
+    What the file in force has and the new one lacks was cut off, or never written: with defaults in its
+    place, a part of a file would be applied.
+    """
+    successor = load(path)
+    if missing := missing_keys(current.document, successor.document):
+        raise ConfigurationError(f"keys are missing: {', '.join(missing)}")
+    return successor
+
+
 def _parse(raw: Any, path: str) -> Config:
     settings = raw["settings"]
     pairs = flatten(settings)
@@ -83,5 +135,6 @@
         idle_us=int(float(pairs["bounds.conn-idle"])),
         known=raw.get("known"),
         memory_bytes=int(float(raw["limits"].get("memory_mb", DEFAULT_MEMORY_MB)) * MEBIBYTE),
+        document={key: value for key, value in raw.items() if key != "known"},
         path=path,
     )
--- a/tests/config/test_platform.py
+++ b/tests/config/test_platform.py
@@ -44,7 +44,7 @@
         "value-by": "request",
         "family": "mesh",
     }
-    settings["request-classes"] = [UNSAFE | {"aim-stretch": 0.5}, KEYED]
+    settings["request-classes"] = [UNSAFE | {"aim-stretch": 0.5}, dict(KEYED)]
     settings["accounts"] = [{"name": "t", "allowance-per-s": 100.0, "share": 0.5}]
     settings["self-index"] = 1
     document["settings"] = settings
@@ -132,3 +132,73 @@
 def test_a_missing_file_is_rejected(tmp_path: Path) -> None:
     with pytest.raises(ConfigurationError, match="FileNotFoundError"):
         load(str(tmp_path / "none.json"))
+
+
+def key_paths(value: object, path: tuple[str | int, ...] = ()) -> list[tuple[str | int, ...]]:
+    """The paths of all keys of a file, in the objects of lists too."""
+    if isinstance(value, dict):
+        children = [(path + (key,), child) for key, child in value.items()]
+        return [at for at, child in children for at in (at, *key_paths(child, at))]
+    if isinstance(value, list):
+        return [at for index, child in enumerate(value) for at in key_paths(child, (*path, index))]
+    return []
+
+
+def without(document: Any, path: tuple[str | int, ...]) -> dict[str, Any]:
+    """A file without one key."""
+    *parents, key = path
+    parent = document
+    for step in parents:
+        parent = parent[step]
+    del parent[key]
+    found: dict[str, Any] = document
+    return found
+
+
+def is_optional(path: tuple[str | int, ...]) -> bool:
+    """Whether a complete file may lack a key."""
+    return bool({"known", "aim-stretch"} & set(path))
+
+
+# Guards against a sidecar that follows the discovery of a file that was cut off, and hears of no drain.
+def test_a_file_that_lacks_any_key_of_the_one_in_force_is_rejected_whole(tmp_path: Path) -> None:
+    required = [path for path in key_paths(whole_file(tmp_path)) if not is_optional(path)]
+    contents = [changed(tmp_path, lambda it, path=path: without(it, path)) for path in required]  # type: ignore[misc]
+    nulls = [json.dumps(json.loads(content) | {"settings": None}) for content in contents[:1]]
+    addresses, problems = after_reloads(tmp_path, *contents, *nulls)
+    assert addresses == []
+    assert problems.counts == {"configurations_rejected": len(required) + 1}
+    assert len(required) > 50
+
+
+def new_class(document: dict[str, Any]) -> None:
+    document["settings"]["request-classes"].append(UNSAFE | {"name": "refund"})
+
+
+COMPLETE: dict[str, Callable[[dict[str, Any]], object]] = {
+    "the same": lambda _it: None,
+    "no known list": lambda it: it.pop("known"),
+    "no key that may be absent": lambda it: first_class(it).pop("aim-stretch"),
+    "a new class": new_class,
+    "a class less": lambda it: it["settings"]["request-classes"].pop(),
+    "no tenants": lambda it: it["settings"].update(accounts=[]),
+    "no peers": lambda it: it.update(peers=[]),
+    "new keys": lambda it: it["settings"].update({"new": {"figure": 1}}),
+    "an empty text": lambda it: it.update(name=""),
+    "fewer attempts": lambda it: it["settings"]["bounds"].update({"most-tries": 1}),
+    "a stricter effect": lambda it: it["settings"]["request-classes"][1].update(effect="at_most_once"),
+}
+
+
+@pytest.mark.parametrize("name", COMPLETE)
+def test_a_complete_file_is_applied(tmp_path: Path, name: str) -> None:
+    addresses, _problems = after_reloads(tmp_path, changed(tmp_path, COMPLETE[name]))
+    assert addresses == [NEW_DISCOVERY]
+
+
+def test_what_a_file_lacks_is_compared_with_the_last_one_that_was_applied(tmp_path: Path) -> None:
+    more = changed(tmp_path, lambda it: it["settings"].update({"new": {"figure": 1}}))
+    less = changed(tmp_path, lambda it: it.update(discovery="127.0.0.1:8502"))
+    addresses, problems = after_reloads(tmp_path, more, less, more)
+    assert addresses == [NEW_DISCOVERY, NEW_DISCOVERY]
+    assert problems.counts["configurations_rejected"] == 1
