A keyed class without group or memory span is rejected, at the start too

A file whose keyed class lacks `group` starts a sidecar that repeats its requests at all endpoints, also where their keys are not known: an effect may happen twice.

Cause: `group` had the default "all", the widest there is, and `memory-span` 0. Elsewhere they still have defaults, as nothing depends on them. Other defaults at a start stay: they are the cautious ones (no grace for drains, no dial time-out), and a sidecar that does not start is no better.

--- a/plovertrail/config/settings.py
+++ b/plovertrail/config/settings.py
@@ -60,6 +60,8 @@
 
 
 def _class(options: _Options, at: str) -> RequestClass:
+    effect = options.choice(at + "effect", EFFECTS)
+    repeats_need_it = effect == "deduplicated"  # a default might repeat a request where it runs again
     return RequestClass(
         name=options.text(at + "name"),
         latency_objective_us=options.whole(at + "aim"),
@@ -67,9 +69,9 @@
         priority_weight=options.number(at + "worth"),
         late_weight=options.number(at + "late-worth", "0"),
         objective_stretch=options.number(at + "aim-stretch", "0"),
-        effect=options.choice(at + "effect", EFFECTS),
-        dedup_scope=options.choice(at + "group", DEDUP_SCOPES, "all"),
-        dedup_window_us=options.whole(at + "memory-span", "0"),
+        effect=effect,
+        dedup_scope=options.choice(at + "group", DEDUP_SCOPES, None if repeats_need_it else "all"),
+        dedup_window_us=options.whole(at + "memory-span", None if repeats_need_it else "0"),
         stream=options.flag(at + "stream", "false"),
     )
 
--- a/tests/config/test_platform.py
+++ b/tests/config/test_platform.py
@@ -202,3 +202,16 @@
     addresses, problems = after_reloads(tmp_path, more, less, more)
     assert addresses == [NEW_DISCOVERY, NEW_DISCOVERY]
     assert problems.counts["configurations_rejected"] == 1
+
+
+# Guards against keyed requests that are repeated outside their group, as a default stood in for it.
+@pytest.mark.parametrize("key", ["group", "memory-span"])
+def test_a_keyed_class_without_the_limits_of_its_repeats_is_rejected_at_the_start(
+    tmp_path: Path, key: str
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(changed(tmp_path, lambda it: it["settings"]["request-classes"][1].pop(key)))
+    with pytest.raises(ConfigurationError, match=key):
+        load(str(path))
+    path.write_text(changed(tmp_path, lambda it: first_class(it).pop(key)))  # unsafe: never repeated
+    assert load(str(path)).settings.classes[0].effect == "at_most_once"
