Serving ends its discovery and tasks however it ends

Seen: "Task was destroyed but it is pending" of Discovery.connect(), and once a SystemError of ast.parse in the test in which the collector met that task. Running its tests one by one shows it in test_lists_that_come_indented_... alone (5 of 9 parameters): `serve` is cancelled there, or ended by an error of `listen`, and `discovery.close()` stood behind its last line only. The watch is opened again while the loop closes. Change: an ExitStack closes the discovery and cancels both tasks.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import os
 import signal
@@ -93,6 +94,13 @@
 
 async def serve(settings: config.Config, stop: asyncio.Event, reload: asyncio.Event) -> None:
     """Serve until `stop` is set, then answer the open requests and those that still arrive."""
+    with contextlib.ExitStack() as stack:
+        await _serve(settings, stop, reload, stack)
+
+
+async def _serve(
+    settings: config.Config, stop: asyncio.Event, reload: asyncio.Event, stack: contextlib.ExitStack
+) -> None:
     loop = asyncio.get_running_loop()
     connections = ConnectionPool(
         settings.idle_us, settings.settings.connect_timeout_us, max_connections=settings.sockets * 3 // 8
@@ -101,6 +109,7 @@
     pool = dispatcher.pools.add("", settings.settings, settings.seed, connections)
     directory = Directory(settings.zones, settings.kinds)
     discovery = Discovery(settings.discovery, directory, partial(dispatcher.pools.update_endpoints, pool))
+    stack.callback(discovery.close)
     dispatcher.discovery = discovery
     if settings.known:
         discovery.load_cached(settings.known)
@@ -116,7 +125,9 @@
         max_incomplete_bytes=int(settings.memory_bytes * INCOMPLETE_REQUESTS_SHARE),
     )
     reload_task = loop.create_task(follow_configuration(settings, reload, discovery, dispatcher.problems))
+    stack.callback(reload_task.cancel)
     counters_task = loop.create_task(log_counters(dispatcher.problems, connections.problems))
+    stack.callback(counters_task.cancel)
     await listen(listener, settings.listen, stop)
     await stop.wait()
     log.info("stop requested open=%d connections=%d", len(dispatcher.requests), listener.count())
