Headers are packed only where they are many, so that usual messages cost as before

Cause: each message made two buffers and an array for headers, though nearly all come in one read and have under ten. Change: `IncomingHeaders`, for requests and responses, keeps a list and packs it once a message is awaited with over 32. Tests: those of memory and framing as they are.

--- a/plovertrail/listeners/incomplete_requests.py
+++ b/plovertrail/listeners/incomplete_requests.py
@@ -30,7 +30,8 @@
 
     def forget(self, client: ClientT) -> None:
         """Forget a client's request, as it is complete or was rejected."""
-        self.total_bytes -= self._sizes.pop(client, 0)
+        if client in self._sizes:
+            self.total_bytes -= self._sizes.pop(client)
 
     def pop_excess(self) -> ClientT | None:
         """Remove and return the client that has sent nothing for longest, if the limit is exceeded."""
--- a/plovertrail/listeners/platform_listener.py
+++ b/plovertrail/listeners/platform_listener.py
@@ -12,7 +12,7 @@
 from plovertrail.dispatch.dispatcher import Dispatcher
 from plovertrail.dispatch.server_pool import ServerPool
 from plovertrail.dispatch.types import ProxyRequest, ProxyResponse, ResponseKind
-from plovertrail.http1.header_block import HeaderBlock
+from plovertrail.http1.header_block import IncomingHeaders
 from plovertrail.listeners.client_connection import ClientConnection
 from plovertrail.listeners.connection_state import ConnectionState
 from plovertrail.listeners.incomplete_requests import IncompleteRequests
@@ -67,8 +67,7 @@
     def _free_message(self) -> None:
         """Free what was received of a request, as it has been passed on or rejected."""
         self.target = b""
-        self.headers: list[tuple[bytes, bytes]] = []  # parsed from the bytes that came last
-        self.earlier_headers = HeaderBlock()
+        self.headers = IncomingHeaders()
         self.body = bytearray()
         self.platform_listener.incomplete.forget(self)
 
@@ -99,7 +98,7 @@
             raise InvalidRequestError(400, "no chunked requests")
         if lower_name == b"content-length" and int(value) > MAX_BODY_BYTES:
             raise InvalidRequestError(413, "the body is too long")  # without reading the body
-        self.headers.append((name, value))
+        self.headers.append(name, value)
 
     def on_headers_complete(self) -> None:
         """Parser callback: the head is complete."""
@@ -141,8 +140,7 @@
             log.exception("unexpected error while reading a request")
             self._write(500, b"", last=True)
         if self.state in INCOMPLETE_STATES:
-            self.earlier_headers.extend(self.headers)
-            self.headers.clear()
+            self.headers.pause()
             self.platform_listener.limit_incomplete(self)
 
     def _receive_pipelined(self, data: bytes) -> None:
@@ -189,7 +187,7 @@
             self._write(200 if self.platform_listener.is_ready else 503, b"")
             return
         request = self.platform_listener.catalog.make_request(
-            method, self.target, [*self.earlier_headers, *self.headers], bytes(self.body)
+            method, self.target, self.headers.all(), bytes(self.body)
         )
         self._free_message()
         request.client_disconnected = self.is_disconnected
--- a/plovertrail/upstreams/response_reader.py
+++ b/plovertrail/upstreams/response_reader.py
@@ -7,7 +7,7 @@
 import httptools
 
 from plovertrail.decisions.events import Outcome
-from plovertrail.http1.header_block import HeaderBlock
+from plovertrail.http1.header_block import IncomingHeaders
 
 MAX_HEAD_BYTES = 32 * 1024
 EMPTY_LINE = b"\r\n\r\n"  # ends heads and chunked bodies
@@ -60,8 +60,7 @@
         self.switched_protocols = False  # the response is a 101 to a handshake
         self.status = 0
         self.not_run = False  # the endpoint sent X-Not-Run: 1
-        self._headers: list[tuple[bytes, bytes]] = []  # parsed from the bytes that came last
-        self._earlier_headers = HeaderBlock()
+        self._headers = IncomingHeaders()
         self.body_bytes: int | None = None  # the length that the head gives for the body
         self.chunked = False
         self.head_done = False
@@ -87,8 +86,7 @@
             self.reusable = self.reusable and not self.behind
             return
         self._last_bytes = (self._last_bytes + data[-LAST_BYTES:])[-LAST_BYTES:]
-        self._earlier_headers.extend(self._headers)
-        self._headers.clear()
+        self._headers.pause()
 
     def _next_stop(self, data: bytes, begin: int) -> int:
         """Return the first position behind `begin` at which the response may be complete.
@@ -114,7 +112,7 @@
     @property
     def headers(self) -> list[tuple[bytes, bytes]]:
         """The headers of the final response."""
-        return [*self._earlier_headers, *self._headers]
+        return self._headers.all()
 
     def end_of_stream(self) -> bool:
         """Handle the end of the stream; returns whether it completes the response (RFC 9112, section 6.3).
@@ -153,7 +151,7 @@
             self.chunked = True
         elif lower == b"x-not-run":
             self.not_run = value.strip() == b"1"
-        self._headers.append((name, value))
+        self._headers.append(name, value)
 
     def on_headers_complete(self) -> None:
         """Handle the end of the head, which is also the end of a final response to HEAD."""
@@ -184,8 +182,7 @@
             self.head_done = False
             self.body_bytes = None
             self.chunked = False
-            self._headers = []
-            self._earlier_headers = HeaderBlock()
+            self._headers = IncomingHeaders()
             return
         self.complete = True
         if not self.parser.should_keep_alive():
