A request that goes on behind its length is not served once its rest has come

Cause: bytes behind an open request were dropped without a look (`_receive_pipelined`). Change: they go to the parser until another request has begun; if they can't begin one, the client gets 400 and the close, and the dispatcher is told that nobody waits. What may be another request is dropped as before, and the first is served. Why it works: the same evidence that rejects such a request in one piece now rejects it in two. A rest that comes after the response can't be known.

--- a/plovertrail/listeners/platform_listener.py
+++ b/plovertrail/listeners/platform_listener.py
@@ -30,6 +30,7 @@
 MAX_PIPELINED_BYTES = 2 * (MAX_BODY_BYTES + MAX_HEAD_BYTES)  # one pipelined request always fits
 MEMORY_RETRY_AFTER_US = 1_000_000
 INCOMPLETE_STATES = (ConnectionState.NEW, ConnectionState.READING)
+MALFORMED = "malformed request"
 READINESS_TARGET = b"/up"
 SUPPORTED_VERSIONS = ("1.0", "1.1")
 REASONS = {
@@ -60,6 +61,7 @@
         """Reset the parsing state for the next request."""
         self.complete = False
         self.head_complete = False
+        self.next_request_begun = False  # another request follows the complete one
         self.received_bytes = 0
         self.last_received = 0.0
         self._free_message()
@@ -85,7 +87,9 @@
 
     def on_url(self, url: bytes) -> None:
         """Parser callback: a further piece of the request target."""
-        if not self.complete:
+        if self.complete:
+            self.next_request_begun = True
+        else:
             self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -144,14 +148,30 @@
             self.platform_listener.limit_incomplete(self)
 
     def _receive_pipelined(self, data: bytes) -> None:
-        """Drop pipelined bytes; the connection closes after the response to the open request."""
+        """Drop pipelined bytes; the connection closes after the response to the open request.
+
+        If they are no request, they belong to the open one, and its length is too small: it was forwarded cut
+        off, and must not be served.
+        """
         self.pipelined = True
+        if not self.next_request_begun and not self._may_begin_request(data):
+            self._write(400, MALFORMED.encode() + b"\n", last=True)
+            self.platform_listener.dispatcher.disconnected(self.request_id)
+            return
         self.discarded_bytes += len(data)
         if self.discarded_bytes > MAX_PIPELINED_BYTES:
             # a disconnect behind that many bytes would go unnoticed, and attempts would be sent for nobody
             self.close_after_response = True
             self.platform_listener.dispatcher.expire(self.request_id)
 
+    def _may_begin_request(self, data: bytes) -> bool:
+        """Whether these bytes may be the beginning of a request; the parser has read all before them."""
+        try:
+            self._parse(data)
+        except InvalidRequestError:
+            return self.next_request_begun
+        return True
+
     def _receive(self, data: bytes) -> None:
         """Parse a part of a request; raises InvalidRequestError, also if its head is too long."""
         head_room = MAX_HEAD_BYTES - self.received_bytes
@@ -174,7 +194,7 @@
             raise cause if isinstance(cause, InvalidRequestError) else error from None
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             # if the bytes after a complete request are no request, its length was wrong
-            raise InvalidRequestError(400, "malformed request") from None
+            raise InvalidRequestError(400, MALFORMED) from None
 
     def _submit(self) -> None:
         """Pass a complete request to the dispatcher; raises InvalidRequestError."""
--- a/tests/sidecar/test_bad_input.py
+++ b/tests/sidecar/test_bad_input.py
@@ -116,6 +116,63 @@
     run(test)
 
 
+# Guards against a request that was cut off at a length that is too small, forwarded, and served.
+@pytest.mark.parametrize("rest", [b"cd", b"\r\ncd", b"\x00", b"cd" * 50_000])
+def test_a_request_that_goes_on_behind_its_length_is_not_served(rest: bytes) -> None:
+    async def test() -> None:
+        held = asyncio.Event()
+
+        async def script(
+            _upstream: Upstream, _number: int, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await held.wait()
+            writer.write(OK)
+
+        upstream = Upstream(script)
+        async with sidecar(upstream) as it:
+            reader, writer = await it.connect()
+            writer.write(request("pay", body=b"ab"))
+            await until(lambda: len(upstream.requests) == 1)
+            writer.write(rest)
+            assert status(await read_message(reader)) == 400
+            held.set()
+            assert await reader.read() == b""
+            writer.close()
+            assert status(await it.ask(request())) == 200
+        assert len(upstream.requests) == 2
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "rest", [b"\r\n", b"P", request("pay")[:9], request("read"), request("read") + b"noise", b"\r\nGET / H"]
+)
+def test_a_request_is_served_if_what_follows_it_may_be_another(rest: bytes) -> None:
+    async def test() -> None:
+        held = asyncio.Event()
+
+        async def script(
+            _upstream: Upstream, _number: int, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await held.wait()
+            writer.write(OK)
+
+        upstream = Upstream(script)
+        async with sidecar(upstream) as it:
+            reader, writer = await it.connect()
+            writer.write(request("pay", body=b"ab"))
+            await until(lambda: len(upstream.requests) == 1)
+            for at in range(len(rest)):
+                writer.write(rest[at : at + 1])
+                await asyncio.sleep(0)
+            await asyncio.sleep(0.02)
+            held.set()
+            assert status(await read_message(reader)) == 200
+            writer.close()
+
+    run(test)
+
+
 def test_the_id_of_another_open_request_does_not_go_out_again() -> None:
     async def test() -> None:
         held = asyncio.Event()
