A test of the memory that open requests with many headers take

400 complete requests of 2,000 short headers and 60 KB, to 20 endpoints that do not answer, a limit of 32 MB.

--- a/tests/sidecar/test_memory_limit.py
+++ b/tests/sidecar/test_memory_limit.py
@@ -10,7 +10,17 @@
 
 import pytest
 
-from tests.net import OK, Upstream, answering, configuration, entry, listing, read_message, request
+from tests.net import (
+    OK,
+    Upstream,
+    answering,
+    configuration,
+    entry,
+    listing,
+    read_message,
+    request,
+    silent,
+)
 from tests.sidecar.common import run, status
 from tests.test_program import program, until_listening
 
@@ -106,3 +116,32 @@
             assert max(waited) < BAD_CLIENTS_ERROR_S + SLACK_S
 
     run(test)
+
+
+# Guards against a sidecar that is killed for memory by what it holds of requests that its endpoints work on.
+def test_open_requests_with_many_headers_leave_the_sidecar_under_its_memory_limit(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstreams = [Upstream(silent) for _ in range(20)]
+        for upstream in upstreams:
+            await upstream.start()
+        entries = (entry(f"u{number}", upstream.port) for number, upstream in enumerate(upstreams))
+        limits = {"cores": 1.0, "memory_mb": 32, "sockets": 1024}
+        path = configuration(tmp_path, limits=limits, known=listing(*entries))
+        port = int(json.loads(path.read_text())["listen"].rpartition(":")[2])
+        with program(path) as process:
+            await until_listening(port)
+            seen: list[float] = []
+            watching = asyncio.create_task(watch_memory(process.pid, seen))
+            extra = SHORT_HEADER.decode() * 2_000
+            asked: list[asyncio.Task[int]] = []
+            for _ in range(400):
+                data = request("pay", deadline_ms=1200, extra=extra, body=b"b" * 60_000)
+                asked.append(asyncio.create_task(ask(port, data)))
+                await asyncio.sleep(0.001)
+            answers = await asyncio.gather(*asked)
+            watching.cancel()
+            assert max(seen) < 32
+            assert set(answers) <= {500, 503}
+            assert sum(len(upstream.requests) for upstream in upstreams) >= len(upstreams)
+
+    run(test)
