--- a/plovertrail/listeners/platform_listener.py
+++ b/plovertrail/listeners/platform_listener.py
@@ -153,6 +153,10 @@
         If they are no request, they belong to the open one, and its length is too small: it was forwarded cut
         off, and must not be served.
         """
+        if not self.pipelined and self.close_after_response:
+            self.parser = httptools.HttpRequestParser(
+                self
+            )  # the old one reads nothing behind the last request
         self.pipelined = True
         if not self.next_request_begun and not self._may_begin_request(data):
             self._write(400, MALFORMED.encode() + b"\n", last=True)
--- a/tests/sidecar/test_bad_input.py
+++ b/tests/sidecar/test_bad_input.py
@@ -118,7 +118,8 @@
 
 # Guards against a request that was cut off at a length that is too small, forwarded, and served.
 @pytest.mark.parametrize("rest", [b"cd", b"\r\ncd", b"\x00", b"cd" * 50_000])
-def test_a_request_that_goes_on_behind_its_length_is_not_served(rest: bytes) -> None:
+@pytest.mark.parametrize("extra", ["", "Connection: close\r\n"])
+def test_a_request_that_goes_on_behind_its_length_is_not_served(rest: bytes, extra: str) -> None:
     async def test() -> None:
         held = asyncio.Event()
 
@@ -131,7 +132,7 @@
         upstream = Upstream(script)
         async with sidecar(upstream) as it:
             reader, writer = await it.connect()
-            writer.write(request("pay", body=b"ab"))
+            writer.write(request("pay", body=b"ab", extra=extra))
             await until(lambda: len(upstream.requests) == 1)
             writer.write(rest)
             assert status(await read_message(reader)) == 400
@@ -147,7 +148,8 @@
 @pytest.mark.parametrize(
     "rest", [b"\r\n", b"P", request("pay")[:9], request("read"), request("read") + b"noise", b"\r\nGET / H"]
 )
-def test_a_request_is_served_if_what_follows_it_may_be_another(rest: bytes) -> None:
+@pytest.mark.parametrize("extra", ["", "Connection: close\r\n"])
+def test_a_request_is_served_if_what_follows_it_may_be_another(rest: bytes, extra: str) -> None:
     async def test() -> None:
         held = asyncio.Event()
 
@@ -160,7 +162,7 @@
         upstream = Upstream(script)
         async with sidecar(upstream) as it:
             reader, writer = await it.connect()
-            writer.write(request("pay", body=b"ab"))
+            writer.write(request("pay", body=b"ab", extra=extra))
             await until(lambda: len(upstream.requests) == 1)
             for at in range(len(rest)):
                 writer.write(rest[at : at + 1])
