--- a/plovertrail/listeners/platform_listener.py
+++ b/plovertrail/listeners/platform_listener.py
@@ -154,11 +154,11 @@
         off, and must not be served.
         """
         if not self.pipelined and self.close_after_response:
-            self.parser = httptools.HttpRequestParser(
-                self
-            )  # the old one reads nothing behind the last request
+            # the old parser reads nothing behind a request that is to be the last one
+            self.parser = httptools.HttpRequestParser(self)
         self.pipelined = True
         if not self.next_request_begun and not self._may_begin_request(data):
+            self.platform_listener.dispatcher.problems.count("requests_longer_than_told")
             self._write(400, MALFORMED.encode() + b"\n", last=True)
             self.platform_listener.dispatcher.disconnected(self.request_id)
             return
--- a/tests/sidecar/test_bad_input.py
+++ b/tests/sidecar/test_bad_input.py
@@ -9,6 +9,7 @@
 
 from plovertrail.decisions.settings import RequestClass
 from plovertrail.listeners import connection_state
+from plovertrail.listeners.platform_listener import MAX_HEAD_BYTES
 from plovertrail.listeners.platform_requests import RecentRequestIds
 from tests.net import (
     OK,
@@ -116,6 +117,26 @@
     run(test)
 
 
+@pytest.mark.parametrize("piece_bytes", [1_000_000, MAX_HEAD_BYTES, 5_000])
+@pytest.mark.parametrize(("head_bytes", "expected"), [(MAX_HEAD_BYTES, 200), (MAX_HEAD_BYTES + 1, 413)])
+def test_the_limit_on_a_head_is_the_same_however_it_is_cut(
+    head_bytes: int, expected: int, piece_bytes: int
+) -> None:
+    async def test() -> None:
+        async with sidecar(Upstream(answering(OK))) as it:
+            missing = head_bytes - len(request("pay", ident="7", extra="X-Long: \r\n"))
+            data = request("pay", ident="7", extra="X-Long: " + "x" * missing + "\r\n")
+            assert len(data) == head_bytes
+            reader, writer = await it.connect()
+            for begin in range(0, len(data), piece_bytes):
+                writer.write(data[begin : begin + piece_bytes])
+                await asyncio.sleep(0.005)
+            assert status(await read_message(reader)) == expected
+            writer.close()
+
+    run(test)
+
+
 # Guards against a request that was cut off at a length that is too small, forwarded, and served.
 @pytest.mark.parametrize("rest", [b"cd", b"\r\ncd", b"\x00", b"cd" * 50_000])
 @pytest.mark.parametrize("extra", ["", "Connection: close\r\n"])
