The three ends of an attempt whose response is dropped are one function

`_drop_response` releases the reader, closes the connection and ends the attempt; the steps stood in three places of Connection. No change of behaviour; tests of pools, answers and the daemon's listener pass.

--- a/plovertrail/upstreams/connection.py
+++ b/plovertrail/upstreams/connection.py
@@ -250,7 +250,8 @@
             return
         if reader.behind:
             if not reader.head_only and is_rest_of_body(bytes(reader.body), reader.behind, reader.chunked):
-                self._finish_longer_than_told(reader)
+                self.pool.strays.rest_of_body(self.history, reader, self._request_name())
+                self._drop_response(reader, "response_longer_than_told", Outcome.MALFORMED)
                 return
             self.pool.strays.behind_response(self.history, reader.behind, self._request_name())
         response = TimedResponse(reader, self._timing(reader))
@@ -281,29 +282,22 @@
         """End the attempt with a response, or as one that may have run if it can't be accepted."""
         if decision is Decision.ACCEPT:
             self._accept(reader)
-            return
+        else:
+            self._drop_response(reader, "ambiguous_response", Outcome.MALFORMED)
+
+    def _drop_response(self, reader: ResponseReader, cause: str, outcome: Outcome) -> None:
+        """End the attempt and close the connection; no part of the response is passed on."""
         reader.release()
-        self.reader = None  # no part of it may be passed on
-        self.close("ambiguous_response")
-        self._finish(Outcome.MALFORMED)
+        self.reader = None
+        self.close(cause)
+        self._finish(outcome)
 
     def _finish_unsent(self, reader: ResponseReader) -> None:
         """End an attempt as one that never ran: a response came, and part of its request is still unsent."""
         self.pool.strays.before_request_was_sent(
             self.history, clock_us() - self.sent_us, self._request_name()
         )
-        reader.release()
-        self.reader = None
-        self.close("answered_before_sent")
-        self._finish(Outcome.CONNECT_FAILED)
-
-    def _finish_longer_than_told(self, reader: ResponseReader) -> None:
-        """End an attempt that may have run: the length of its response is too small, and would cut it off."""
-        self.pool.strays.rest_of_body(self.history, reader, self._request_name())
-        reader.release()
-        self.reader = None  # no part of it may be passed on
-        self.close("response_longer_than_told")
-        self._finish(Outcome.MALFORMED)
+        self._drop_response(reader, "answered_before_sent", Outcome.CONNECT_FAILED)
 
     def _timing(self, reader: ResponseReader) -> ResponseTiming:
         """When a response came, for the decision whether it can be the one to the current request."""
