The pool's start is a function; remainder, missing and capacity in place of rest and room

Renamed: is_rest_of_body to is_remainder_of_body, StrayMessages.rest_of_body to remainder_of_body. No change of behaviour; the tests of these modules pass.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -14,6 +14,7 @@
 from plovertrail.clock import clock_us
 from plovertrail.config import platform as config
 from plovertrail.dispatch.dispatcher import Dispatcher
+from plovertrail.dispatch.server_pool import ServerPool
 from plovertrail.listeners.platform_listener import PlatformListener
 from plovertrail.logs import log_to_stderr
 from plovertrail.problem_log import ProblemLog, counters_line
@@ -107,15 +108,8 @@
     )
     dispatcher = Dispatcher()
     pool = dispatcher.pools.add("", settings.settings, settings.seed, connections)
-    directory = Directory(settings.zones, settings.kinds)
-    discovery = Discovery(settings.discovery, directory, partial(dispatcher.pools.update_endpoints, pool))
+    discovery = start_pool(settings, dispatcher, pool)
     stack.callback(discovery.close)
-    dispatcher.discovery = discovery
-    if settings.known:
-        discovery.load_cached(settings.known)
-    dispatcher.start(pool)
-    if not settings.settings.endpoints_on_request:
-        discovery.hold_open()
     # the remaining descriptors are for discovery, the listener, the log and connections being closed
     listener = PlatformListener(
         dispatcher,
@@ -143,6 +137,19 @@
     )
 
 
+def start_pool(settings: config.Config, dispatcher: Dispatcher, pool: ServerPool) -> Discovery:
+    """Start a pool with the list that was last known, and return the discovery that it follows."""
+    directory = Directory(settings.zones, settings.kinds)
+    discovery = Discovery(settings.discovery, directory, partial(dispatcher.pools.update_endpoints, pool))
+    dispatcher.discovery = discovery
+    if settings.known:
+        discovery.load_cached(settings.known)
+    dispatcher.start(pool)
+    if not settings.settings.endpoints_on_request:
+        discovery.hold_open()
+    return discovery
+
+
 async def drain(listener: PlatformListener, longest_deadline_s: float) -> None:
     """Answer the open requests and those that still arrive, each within its deadline.
 
--- a/plovertrail/decisions/response_excess.py
+++ b/plovertrail/decisions/response_excess.py
@@ -1,8 +1,8 @@
-"""Decides whether the bytes behind a response are the rest of its body, so that its length is too small.
+"""Decides whether the bytes behind a response are the remainder of its body, so that its length is too small.
 
 An endpoint may write a length that counts characters and not bytes, or the length of another body. Cut off
 there, the response would be served as a good one. Other endpoints send a good response and more than belongs
-to it: a second copy, or noise. Where nothing tells these apart, the bytes are taken for the rest of the body:
+to it: a second copy, or noise. Where nothing tells these apart, the bytes are taken for the remainder:
 the client can tell a failed request from a served one, but not a body that was cut off.
 """
 
@@ -13,7 +13,7 @@
 import re
 
 MESSAGE_START = b"HTTP/1."
-MIN_MESSAGE_START = 4  # bytes of it that have to have come
+MIN_MESSAGE_START = 4  # bytes of it by which a message is known
 HEAD_END = b"\r\n\r\n"
 CHUNK_START = re.compile(rb"(?:\r\n)?[0-9A-Fa-f]+[ \t]*(?:;[^\r\n]*)?\r\n")
 CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
@@ -22,8 +22,8 @@
 DOCUMENT_GOES_ON = (b"", b",", *DOCUMENT_STARTS)
 
 
-def is_rest_of_body(body: bytes, behind: bytes, chunked: bool) -> bool:
-    """Return whether the bytes behind a complete response may be the rest of its body."""
+def is_remainder_of_body(body: bytes, behind: bytes, chunked: bool) -> bool:
+    """Return whether the bytes behind a complete response may be the remainder of its body."""
     if _starts_message(behind):
         return False
     if chunked and CHUNK_START.match(behind):
--- a/plovertrail/listeners/platform_listener.py
+++ b/plovertrail/listeners/platform_listener.py
@@ -67,14 +67,14 @@
         self._free_message()
 
     def _free_message(self) -> None:
-        """Free what was received of a request, as it has been passed on or rejected."""
+        """Free the received part of a request, once it has been submitted or rejected."""
         self.target = b""
         self.headers = IncomingHeaders()
         self.body = bytearray()
         self.platform_listener.incomplete.forget(self)
 
     def release(self) -> None:
-        """Release the parser and what was received once the connection has ended."""
+        """Release the parser and the received part of a request, once the connection has ended."""
         self._free_message()
         self.parser = None  # breaks a reference cycle that only a rare full garbage collection would free
 
@@ -178,15 +178,15 @@
 
     def _receive(self, data: bytes) -> None:
         """Parse a part of a request; raises InvalidRequestError, also if its head is too long."""
-        head_room = MAX_HEAD_BYTES - self.received_bytes
+        head_capacity = MAX_HEAD_BYTES - self.received_bytes
         self.received_bytes += len(data)
-        if self.head_complete or len(data) <= head_room:
+        if self.head_complete or len(data) <= head_capacity:
             self._parse(data)
             return
-        self._parse(data[:head_room])  # no more of a read than a head may have
+        self._parse(data[:head_capacity])  # no more of a read than a head may have
         if not self.head_complete:
             raise InvalidRequestError(413, "the head is too long")
-        self._parse(data[head_room:])
+        self._parse(data[head_capacity:])
 
     def _parse(self, data: bytes) -> None:
         """Feed bytes to the parser; raises InvalidRequestError."""
@@ -318,8 +318,9 @@
             stalled.reject_for_memory()
 
     def _incomplete_fields(self) -> str:
-        held = self.incomplete
-        return f"incomplete={len(held)} bytes={held.total_bytes} limit={held.max_bytes}"
+        incomplete = self.incomplete
+        limit = incomplete.max_bytes
+        return f"incomplete={len(incomplete)} bytes={incomplete.total_bytes} limit={limit}"
 
     def finish_by(self, ends_us: int) -> None:
         """Limit all later requests to the end of the process, a time on the monotonic clock."""
--- a/plovertrail/upstreams/connection.py
+++ b/plovertrail/upstreams/connection.py
@@ -13,7 +13,7 @@
 from plovertrail.clock import clock_us
 from plovertrail.decisions.events import Outcome
 from plovertrail.decisions.response_attribution import ResponseAttribution, ResponseTiming
-from plovertrail.decisions.response_excess import is_rest_of_body
+from plovertrail.decisions.response_excess import is_remainder_of_body
 from plovertrail.dispatch.types import ConnectionUse, TransportResult, Tunnel, WebSocketHandshake
 from plovertrail.problem_log import ProblemLog
 from plovertrail.upstreams.attempt import Attempt
@@ -249,8 +249,10 @@
             self._finish_unsent(reader)
             return
         if reader.behind:
-            if not reader.head_only and is_rest_of_body(bytes(reader.body), reader.behind, reader.chunked):
-                self.pool.strays.rest_of_body(self.history, reader, self._request_name())
+            if not reader.head_only and is_remainder_of_body(
+                bytes(reader.body), reader.behind, reader.chunked
+            ):
+                self.pool.strays.remainder_of_body(self.history, reader, self._request_name())
                 self._drop_response(reader, "response_longer_than_told", Outcome.MALFORMED)
                 return
             self.pool.strays.behind_response(self.history, reader.behind, self._request_name())
--- a/plovertrail/upstreams/response_reader.py
+++ b/plovertrail/upstreams/response_reader.py
@@ -94,8 +94,8 @@
         The parser does not tell how many bytes it has used, so it is fed no more than one response has.
         """
         if self.head_done and not self.chunked:
-            rest = len(data) if self.body_bytes is None else self.body_bytes - len(self.body)
-            return min(len(data), begin + max(rest, 1))
+            missing = len(data) if self.body_bytes is None else self.body_bytes - len(self.body)
+            return min(len(data), begin + max(missing, 1))
         if begin == 0 and self._last_bytes:
             # the empty line may have begun with the bytes before
             at = (self._last_bytes + data[:LAST_BYTES]).find(EMPTY_LINE)
--- a/plovertrail/upstreams/stray_messages.py
+++ b/plovertrail/upstreams/stray_messages.py
@@ -49,7 +49,7 @@
         self.attribution.record_late_stray(0, clock_us())
         self.report(history, 0, data, request)
 
-    def rest_of_body(self, history: ConnectionHistory, reader: ResponseReader, request: str) -> None:
+    def remainder_of_body(self, history: ConnectionHistory, reader: ResponseReader, request: str) -> None:
         """Count and log a response whose body goes on behind the length that it gives."""
         self.problems.report(
             "response_longer_than_told",
--- a/tests/decisions/test_response_excess.py
+++ b/tests/decisions/test_response_excess.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from plovertrail.decisions.response_excess import is_rest_of_body
+from plovertrail.decisions.response_excess import is_remainder_of_body
 
 RECEIPT = json.dumps({"title": "Ang Niño", "price": "₱150", "booked": True}, ensure_ascii=False).encode()
 TEXT = b"one receipt for each of two readers"
@@ -16,7 +16,7 @@
 
 @pytest.mark.parametrize("length", range(len(RECEIPT)))
 def test_a_document_that_is_cut_off_anywhere_has_its_rest_behind(length: int) -> None:
-    assert is_rest_of_body(RECEIPT[:length], RECEIPT[length:], chunked=False)
+    assert is_remainder_of_body(RECEIPT[:length], RECEIPT[length:], chunked=False)
 
 
 @pytest.mark.parametrize(
@@ -24,17 +24,17 @@
 )
 @pytest.mark.parametrize("missing", [1, 2, 3, 7])
 def test_other_bodies_that_are_cut_off_have_their_rest_behind(body: bytes, missing: int) -> None:
-    assert is_rest_of_body(body[:-missing], body[-missing:], chunked=False)
+    assert is_remainder_of_body(body[:-missing], body[-missing:], chunked=False)
 
 
 @pytest.mark.parametrize("body", [TEXT, BINARY, RECEIPT])
 def test_a_length_of_0_cuts_off_the_whole_body(body: bytes) -> None:
-    assert is_rest_of_body(b"", body, chunked=False)
+    assert is_remainder_of_body(b"", body, chunked=False)
 
 
 @pytest.mark.parametrize("behind", [b"5\r\nabcde\r\n0\r\n\r\n", b"0\r\n\r\n", b"\r\n1f;x=y\r\n", b"ab"])
 def test_chunks_behind_the_last_chunk_are_the_rest(behind: bytes) -> None:
-    assert is_rest_of_body(TEXT, behind, chunked=True)
+    assert is_remainder_of_body(TEXT, behind, chunked=True)
 
 
 @pytest.mark.parametrize("chunked", [False, True])
@@ -51,19 +51,19 @@
 def test_a_second_message_is_no_rest_even_if_it_cannot_be_read(
     behind: bytes, body: bytes, chunked: bool
 ) -> None:
-    assert not is_rest_of_body(body, behind, chunked)
+    assert not is_remainder_of_body(body, behind, chunked)
 
 
 @pytest.mark.parametrize("body", [TEXT, RECEIPT])
 def test_noise_behind_text_is_no_rest(body: bytes) -> None:
-    assert not is_rest_of_body(body, NOISE, chunked=False)
+    assert not is_remainder_of_body(body, NOISE, chunked=False)
 
 
 @pytest.mark.parametrize("behind", [b"noise", NOISE])
 def test_what_follows_a_whole_document_is_no_rest(behind: bytes) -> None:
-    assert not is_rest_of_body(RECEIPT, behind, chunked=False)
+    assert not is_remainder_of_body(RECEIPT, behind, chunked=False)
 
 
 def test_text_whose_last_character_has_come_in_part_is_text() -> None:
     whole = "one receipt for Niño".encode()
-    assert is_rest_of_body(TEXT, whole[: whole.index(b"\xb1")], chunked=False)
+    assert is_remainder_of_body(TEXT, whole[: whole.index(b"\xb1")], chunked=False)
