A value of another kind rejects a configuration like a missing key

Change: `missing_keys` names such a key too. Test: four of test_a_value_of_another_kind_is_rejected_... failed before (each file was applied).

--- a/plovertrail/config/platform.py
+++ b/plovertrail/config/platform.py
@@ -66,16 +66,16 @@
 def missing_keys(expected: object, given: object, path: str = "") -> list[str]:
     """The paths of the keys that one part of a file has and the same part of another lacks.
 
-    A key whose value is null is lacking. Each object of a list needs the keys that all objects of the
-    expected list have, but the lists may have different lengths.
+    A key is lacking too if its value is null, or an object or a list where it was not one. Each object of a
+    list needs the keys that all objects of the expected list have; the lengths of the lists may differ.
     """
     if isinstance(expected, Mapping):
         return _missing_of_object(expected, given, path)
-    if not isinstance(expected, list) or not expected:
-        return []
+    if not isinstance(expected, list):
+        return [path] if isinstance(given, Mapping | list) else []
     if not isinstance(given, list):
         return [path]
-    if not all(isinstance(item, Mapping) for item in expected):
+    if not expected or not all(isinstance(item, Mapping) for item in expected):
         return []
     common = {key: value for key, value in expected[0].items() if all(key in item for item in expected)}
     return [
--- a/tests/config/test_platform.py
+++ b/tests/config/test_platform.py
@@ -171,6 +171,16 @@
     assert len(required) > 50
 
 
+@pytest.mark.parametrize("value", [{}, [], [{}], {"figure": 1}])
+def test_a_value_of_another_kind_is_rejected_like_a_missing_one(tmp_path: Path, value: object) -> None:
+    def changed_span(document: dict[str, Any]) -> None:
+        first_class(document).update({"memory-span": value})
+
+    assert after_reloads(tmp_path, changed(tmp_path, changed_span))[0] == []
+    no_list = changed(tmp_path, lambda it: it["settings"].update(accounts="none"))
+    assert after_reloads(tmp_path, no_list)[0] == []
+
+
 def new_class(document: dict[str, Any]) -> None:
     document["settings"]["request-classes"].append(UNSAFE | {"name": "refund"})
 
