The log line of a rejected configuration is bounded, whatever the file holds

A file may lack thousands of keys, or have one value of megabytes that the error repeats: 500 characters are logged. Tests of reconfiguration pass.

--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -50,7 +50,7 @@
         except config.ConfigurationError as error:
             # a missing or partly written file must not affect requests or the endpoint list
             problems.count("configurations_rejected")
-            log.warning("configuration rejected, the one in force stays error=%s", error)
+            log.warning("configuration rejected, the one in force stays error=%.500s", error)
             continue
         problems.count("configurations_applied")
         log.info("configuration applied discovery=%s:%d", *current.discovery)
