--- a/plovertrail/http1/header_block.py
+++ b/plovertrail/http1/header_block.py
@@ -50,28 +50,27 @@
     return headers if len(headers) <= MAX_UNPACKED_HEADERS else HeaderBlock(headers)
 
 
-class IncomingHeaders:
-    """The headers of a message that is being received, packed at `pause` if they are many."""
+class IncomingHeaders(list[Header]):
+    """The headers of a message that is being received; `pause` packs them if they are many.
 
-    __slots__ = ("_recent", "_packed")
+    The list holds those that are not packed.
+    """
+
+    __slots__ = ("_packed",)
 
     def __init__(self) -> None:
-        self._recent: list[Header] = []
+        super().__init__()
         self._packed: HeaderBlock | None = None
 
-    def append(self, name: bytes, value: bytes) -> None:
-        """Add a header at the end."""
-        self._recent.append((name, value))
-
     def pause(self) -> None:
-        """Pack the headers: the rest of the message is awaited, and may never come."""
-        if len(self._recent) <= MAX_UNPACKED_HEADERS:
+        """Pack the headers: the remainder of the message is awaited, and may never come."""
+        if len(self) <= MAX_UNPACKED_HEADERS:
             return
         if self._packed is None:
             self._packed = HeaderBlock()
-        self._packed.extend(self._recent)
-        self._recent.clear()
+        self._packed.extend(self)
+        self.clear()
 
     def all(self) -> list[Header]:
         """Return all headers so far."""
-        return self._recent if self._packed is None else [*self._packed, *self._recent]
+        return self if self._packed is None else [*self._packed, *self]
--- a/plovertrail/listeners/platform_listener.py
+++ b/plovertrail/listeners/platform_listener.py
@@ -30,6 +30,7 @@
 MAX_PIPELINED_BYTES = 2 * (MAX_BODY_BYTES + MAX_HEAD_BYTES)  # one pipelined request always fits
 MEMORY_RETRY_AFTER_US = 1_000_000
 INCOMPLETE_STATES = (ConnectionState.NEW, ConnectionState.READING)
+FRAMING_HEADER_LENGTHS = (len("Content-Length"), len("Transfer-Encoding"))  # a head may have thousands
 MALFORMED = "malformed request"
 READINESS_TARGET = b"/up"
 SUPPORTED_VERSIONS = ("1.0", "1.1")
@@ -96,13 +97,15 @@
         """Parser callback: one header. Raises InvalidRequestError if it announces a body that is rejected."""
         if self.complete:
             return
+        self.headers.append((name, value))
+        if len(name) not in FRAMING_HEADER_LENGTHS:
+            return
         lower_name = name.lower()
         if lower_name == b"transfer-encoding":
             # a parser that uses it and one that uses Content-Length find the next request at different places
             raise InvalidRequestError(400, "no chunked requests")
         if lower_name == b"content-length" and int(value) > MAX_BODY_BYTES:
             raise InvalidRequestError(413, "the body is too long")  # without reading the body
-        self.headers.append(name, value)
 
     def on_headers_complete(self) -> None:
         """Parser callback: the head is complete."""
--- a/plovertrail/upstreams/response_reader.py
+++ b/plovertrail/upstreams/response_reader.py
@@ -151,7 +151,7 @@
             self.chunked = True
         elif lower == b"x-not-run":
             self.not_run = value.strip() == b"1"
-        self._headers.append(name, value)
+        self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Handle the end of the head, which is also the end of a final response to HEAD."""
