--- a/tests/sidecar/common.py
+++ b/tests/sidecar/common.py
@@ -7,7 +7,10 @@
 
 from plovertrail.decisions.response_attribution import INITIAL_REUSE_DELAY_US
 from tests.net import (
+    OK,
     PATIENCE_S,
+    Script,
+    Upstream,
 )
 
 ERROR = b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"
@@ -25,3 +28,15 @@
             await test()
 
     asyncio.run(limited())
+
+
+def released_by(go_on: asyncio.Event) -> Script:
+    """Answer each request once the event is set."""
+
+    async def script(
+        _upstream: Upstream, _number: int, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await go_on.wait()
+        writer.write(OK)
+
+    return script
--- a/tests/sidecar/test_bad_input.py
+++ b/tests/sidecar/test_bad_input.py
@@ -20,7 +20,7 @@
     sidecar,
     until,
 )
-from tests.sidecar.common import run, status
+from tests.sidecar.common import released_by, run, status
 
 
 @pytest.mark.parametrize(
@@ -144,13 +144,7 @@
     async def test() -> None:
         held = asyncio.Event()
 
-        async def script(
-            _upstream: Upstream, _number: int, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await held.wait()
-            writer.write(OK)
-
-        upstream = Upstream(script)
+        upstream = Upstream(released_by(held))
         async with sidecar(upstream) as it:
             reader, writer = await it.connect()
             writer.write(request("pay", body=b"ab", extra=extra))
@@ -174,13 +168,7 @@
     async def test() -> None:
         held = asyncio.Event()
 
-        async def script(
-            _upstream: Upstream, _number: int, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await held.wait()
-            writer.write(OK)
-
-        upstream = Upstream(script)
+        upstream = Upstream(released_by(held))
         async with sidecar(upstream) as it:
             reader, writer = await it.connect()
             writer.write(request("pay", body=b"ab", extra=extra))
@@ -200,13 +188,7 @@
     async def test() -> None:
         held = asyncio.Event()
 
-        async def script(
-            _upstream: Upstream, _number: int, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await held.wait()
-            writer.write(OK)
-
-        upstreams = [Upstream(script), Upstream(script)]
+        upstreams = [Upstream(released_by(held)), Upstream(released_by(held))]
         async with sidecar(*upstreams) as it:
             reader, writer = await it.connect()
             writer.write(request("pay", "7"))
--- a/tests/sidecar/test_reconfiguration.py
+++ b/tests/sidecar/test_reconfiguration.py
@@ -14,7 +14,6 @@
     OK,
     PATIENCE_S,
     Discovery,
-    Script,
     Upstream,
     answering,
     configuration,
@@ -25,7 +24,7 @@
     sidecar,
     until,
 )
-from tests.sidecar.common import run, status
+from tests.sidecar.common import released_by, run, status
 
 
 def test_a_new_configuration_moves_the_watch_and_keeps_what_is_open(
@@ -34,13 +33,8 @@
     async def test() -> None:
         held = asyncio.Event()
 
-        async def script(
-            _upstream: Upstream, _number: int, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await held.wait()
-            writer.write(OK)
-
-        old, new, first, second = Upstream(script), Upstream(answering(OK)), Discovery(), Discovery()
+        old, new = Upstream(released_by(held)), Upstream(answering(OK))
+        first, second = Discovery(), Discovery()
         await new.start()
         await second.start()
         path = tmp_path / "config.json"
@@ -133,13 +127,3 @@
             each.stop()
 
     run(test)
-
-
-def released_by(go_on: asyncio.Event) -> Script:
-    async def script(
-        _upstream: Upstream, _number: int, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        await go_on.wait()
-        writer.write(OK)
-
-    return script
