--- a/tests/sidecar/test_bad_input.py
+++ b/tests/sidecar/test_bad_input.py
@@ -13,6 +13,7 @@
 from plovertrail.listeners.platform_requests import RecentRequestIds
 from tests.net import (
     OK,
+    Sidecar,
     Upstream,
     answering,
     read_message,
@@ -137,18 +138,25 @@
     run(test)
 
 
+async def forwarded_request(
+    it: Sidecar, upstream: Upstream, extra: str
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Send a request, and return its connection once the upstream has it."""
+    reader, writer = await it.connect()
+    writer.write(request("pay", body=b"ab", extra=extra))
+    await until(lambda: len(upstream.requests) == 1)
+    return reader, writer
+
+
 # Guards against a request that was cut off at a length that is too small, forwarded, and served.
 @pytest.mark.parametrize("rest", [b"cd", b"\r\ncd", b"\x00", b"cd" * 50_000])
 @pytest.mark.parametrize("extra", ["", "Connection: close\r\n"])
 def test_a_request_that_goes_on_behind_its_length_is_not_served(rest: bytes, extra: str) -> None:
     async def test() -> None:
         held = asyncio.Event()
-
         upstream = Upstream(released_by(held))
         async with sidecar(upstream) as it:
-            reader, writer = await it.connect()
-            writer.write(request("pay", body=b"ab", extra=extra))
-            await until(lambda: len(upstream.requests) == 1)
+            reader, writer = await forwarded_request(it, upstream, extra)
             writer.write(rest)
             assert status(await read_message(reader)) == 400
             held.set()
@@ -167,12 +175,9 @@
 def test_a_request_is_served_if_what_follows_it_may_be_another(rest: bytes, extra: str) -> None:
     async def test() -> None:
         held = asyncio.Event()
-
         upstream = Upstream(released_by(held))
         async with sidecar(upstream) as it:
-            reader, writer = await it.connect()
-            writer.write(request("pay", body=b"ab", extra=extra))
-            await until(lambda: len(upstream.requests) == 1)
+            reader, writer = await forwarded_request(it, upstream, extra)
             for at in range(len(rest)):
                 writer.write(rest[at : at + 1])
                 await asyncio.sleep(0)
