An attempt that times out before it is found overdue is evidence too

Cause: health evidence leaves out a timeout later than the latency objective, as the check for overdue attempts has reported it. An event loop that was held up from before the objective until after the attempt's timeout handles the timeout first, and then nothing is overdue any more: neither counts. In the test each instance meets the failing server once in 30 requests.

Change: the load balancer reports such a timeout when the attempt ends. Sidecars exchange no evidence, so nothing changes for them. The new test failed before, [False]; [True] holds that none is reported twice.

--- a/plovertrail/decisions/load_balancing/outcome_recording.py
+++ b/plovertrail/decisions/load_balancing/outcome_recording.py
@@ -52,6 +52,8 @@
         if outcome in RESPONDED:
             endpoint.group.warm_up.record_response(now_us)
             self._tracker.record_response(attempt, earlier, now_us)
+        elif outcome is Outcome.TIMEOUT:
+            self._tracker.record_timeout(attempt, elapsed_us)
         if is_relevant and outcome in TIMED:
             self._latencies.record(attempt.class_index, elapsed_us)
 
--- a/plovertrail/decisions/load_balancing/response_tracking.py
+++ b/plovertrail/decisions/load_balancing/response_tracking.py
@@ -83,6 +83,16 @@
             if other.no_response and not other.slot_released:
                 self._release_slot(other, now_us)
 
+    def record_timeout(self, attempt: AttemptState, elapsed_us: int) -> None:
+        """Report an attempt that was overdue when it timed out, unless `check_overdue` has done so.
+
+        If the event loop was held up, an attempt may time out before it is found overdue.
+        """
+        if attempt.no_response or elapsed_us < self._limits_us[attempt.class_index]:
+            return
+        if self.callback is not None:
+            self.callback(attempt.endpoint, attempt.class_index)
+
     def _record_no_response(self, attempt: AttemptState, now_us: int) -> None:
         endpoint = attempt.endpoint
         class_index = attempt.class_index
--- a/tests/decisions/load_balancing/test_response_tracking.py
+++ b/tests/decisions/load_balancing/test_response_tracking.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from plovertrail.decisions.events import Outcome
 from tests.decisions.load_balancing.harness import classes
 from tests.decisions.load_balancing.scenarios import (
@@ -32,6 +34,25 @@
     assert sum(sends_to_silent(READ) for _ in range(40)) > 0
 
 
+# Guards against a timeout that is not reported, as a held-up process handled it before the overdue check.
+@pytest.mark.parametrize("found_overdue", [True, False])
+def test_a_timeout_behind_the_objective_is_reported_once(found_overdue: bool) -> None:
+    harness = ready_harness()
+    reported: list[tuple[int, int]] = []
+    harness.balancer.set_no_response_callback(
+        lambda endpoint, class_index: reported.append((endpoint.listed.id, class_index))
+    )
+    request = harness.request_arrives(READ)
+    sent = harness.sends(request)[0]
+    objective_us = harness.settings.classes[READ].latency_objective_us
+    if found_overdue:
+        harness.advance(objective_us)
+    else:
+        harness.now_us += objective_us
+    harness.end_attempt(request, 0, Outcome.TIMEOUT)
+    assert reported == [(sent.endpoint_id, READ)]
+
+
 def test_an_endpoint_that_is_slow_for_all_requests_releases_at_most_one_slot() -> None:
     harness = ready_harness(1, hedging=False)
     for _ in range(40):  # so that the limit grows
