A body that looks cut off waits for its remainder, which may come in a read of its own

Cause: the decision was made from what stands behind the response in its last read. What comes one read later was recorded as unexpected bytes, when the client had its answer.

Change: a response that would be passed on now, and whose body is a JSON document that is not whole or ends within a character of UTF-8, waits for up to 50 ms for more, and for no more than half of what its attempt has left. What follows is judged like bytes of the same read; with nothing it is served, as the end of the stream or the time shows that no more comes. Bodies that don't look cut off never wait, nor do those that are deferred anyway.

Of the new tests eight failed before: four bodies whose rest comes in a read of its own, three that tell how long a good body waited, and the reset in the wait.

--- a/plovertrail/decisions/response_excess.py
+++ b/plovertrail/decisions/response_excess.py
@@ -4,11 +4,15 @@
 there, the response would be served as a good one. Other endpoints send a good response and more than belongs
 to it: a second copy, or noise. Where nothing tells these apart, the bytes are taken for the remainder:
 the client can tell a failed request from a served one, but not a body that was cut off.
+
+The remainder may come in a later read than the end of the response. A body that looks cut off is worth a
+short wait for it; if nothing comes, the body is as long as its endpoint has made it.
 """
 
 from __future__ import annotations
 
 import codecs
+import enum
 import json
 import re
 
@@ -20,6 +24,34 @@
 MIN_TEXT_BYTES = 16  # from which a body counts as text; a few bytes of any body may look like it
 DOCUMENT_STARTS = (b"{", b"[")  # of JSON; numbers and words are whole wherever they are cut off
 DOCUMENT_GOES_ON = (b"", b",", *DOCUMENT_STARTS)
+BRACKETS = ((b"{", b"}"), (b"[", b"]"))
+REMAINDER_WAIT_US = 50_000  # the second of two small writes may wait 40 ms for a delayed acknowledgement
+MAX_WAIT_FRACTION = 0.5  # of the time that the attempt has left
+
+
+class BodyEnd(enum.Enum):
+    """What a body shows by itself of whether its end is missing."""
+
+    WHOLE = "whole"
+    CUT_OFF = "cut off"
+    UNKNOWN = "unknown"
+
+
+def body_end(body: bytes | bytearray) -> BodyEnd:
+    """Return whether a body is whole, by its own form: a JSON document, or text in UTF-8."""
+    text = body.strip()
+    for opening, closing in BRACKETS:
+        if text.startswith(opening):
+            is_closed = text.endswith(closing) and all(text.count(a) == text.count(b) for a, b in BRACKETS)
+            return BodyEnd.WHOLE if is_closed or _is_document(text) else BodyEnd.CUT_OFF
+    return BodyEnd.CUT_OFF if _ends_within_character(body) else BodyEnd.UNKNOWN
+
+
+def remainder_wait_us(elapsed_us: int, timeout_us: int) -> int:
+    """Return for how long to wait for more of a body that looks cut off; `timeout_us` 0: no timeout."""
+    if not timeout_us:
+        return REMAINDER_WAIT_US
+    return min(REMAINDER_WAIT_US, max(0, int(MAX_WAIT_FRACTION * (timeout_us - elapsed_us))))
 
 
 def is_remainder_of_body(body: bytes, behind: bytes, chunked: bool) -> bool:
@@ -42,7 +74,7 @@
     return len(start) >= MIN_MESSAGE_START and MESSAGE_START.startswith(start)
 
 
-def _is_document(data: bytes) -> bool:
+def _is_document(data: bytes | bytearray) -> bool:
     """Whether these bytes are a whole JSON document."""
     if not data.lstrip().startswith(DOCUMENT_STARTS):
         return False
@@ -62,3 +94,14 @@
     except UnicodeDecodeError:
         return False
     return True
+
+
+def _ends_within_character(data: bytes | bytearray) -> bool:
+    """Whether these bytes are text in UTF-8 but for the last character, which is cut off."""
+    if data[-1:].isascii():
+        return False
+    try:
+        data.decode()
+    except UnicodeDecodeError as error:
+        return error.reason == "unexpected end of data" and not CONTROL_BYTE.search(data)
+    return False
--- a/plovertrail/upstreams/connection.py
+++ b/plovertrail/upstreams/connection.py
@@ -13,11 +13,17 @@
 from plovertrail.clock import clock_us
 from plovertrail.decisions.events import Outcome
 from plovertrail.decisions.response_attribution import ResponseAttribution, ResponseTiming
-from plovertrail.decisions.response_excess import is_remainder_of_body
+from plovertrail.decisions.response_excess import (
+    BodyEnd,
+    body_end,
+    is_remainder_of_body,
+    remainder_wait_us,
+)
 from plovertrail.dispatch.types import ConnectionUse, TransportResult, Tunnel, WebSocketHandshake
 from plovertrail.problem_log import ProblemLog
 from plovertrail.upstreams.attempt import Attempt
 from plovertrail.upstreams.deferred_response import Decision, DeferredResponse, TimedResponse
+from plovertrail.upstreams.remainder_wait import RemainderWait
 from plovertrail.upstreams.response_reader import ResponseReader, ResponseRules
 from plovertrail.upstreams.stray_messages import MAX_LOGGED_BYTES, ConnectionHistory, StrayMessages
 
@@ -71,6 +77,7 @@
         self.attempt: Attempt | None = None
         self.reader: ResponseReader | None = None  # reads the response to the attempt that was sent
         self.deferral = DeferredResponse(pool.attribution, self._deferral_expired)
+        self.remainder_wait = RemainderWait(self._remainder_wait_expired)
         self.idle_us = 0  # how long it was idle before the current request
         self.sent_us = 0  # when the current request was written
         self.deferred_us = 0  # for how long its response was deferred
@@ -126,15 +133,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of the response; invalid HTTP ends the attempt with MALFORMED."""
+        if (awaited := self.remainder_wait.take()) is not None:
+            self._finish_followed(awaited, data)
+            return
         if self.deferral.deferred is not None:
             self.deferral.another_follows()
             self.pool.strays.report(self.history, clock_us() - self.sent_us, data, self._request_name())
         reader = self.reader
         if self.attempt is None or reader is None:
-            self.pool.strays.on_idle(self.history, data, self._request_name())
-            self.close("unexpected_bytes")  # no request is in flight
-            if self.attempt is not None:
-                self._finish(Outcome.CONNECT_FAILED)
+            self._receive_unrequested(data)
             return
         malformed = False
         try:
@@ -154,10 +161,19 @@
             self.close("malformed_response")
             self._finish(Outcome.MALFORMED)
 
+    def _receive_unrequested(self, data: bytes) -> None:
+        """Record bytes that came while no request was in flight, and close the connection."""
+        self.pool.strays.on_idle(self.history, data, self._request_name())
+        self.close("unexpected_bytes")
+        if self.attempt is not None:
+            self._finish(Outcome.CONNECT_FAILED)
+
     def eof_received(self) -> None:
         """Complete a response without a length, which ends with the stream (but not with a reset)."""
         self.closed = True
-        if self.deferral.deferred is not None:
+        if (awaited := self.remainder_wait.take()) is not None:
+            self._finish_awaited(awaited, stream_ended=True)
+        elif self.deferral.deferred is not None:
             self._finish_deferred(self.deferral.deferred, stream_ended=True)
         elif self.attempt is not None and self.reader is not None and self.reader.end_of_stream():
             self._finish_complete(self.reader, stream_ended=True)
@@ -167,6 +183,7 @@
         if self.attempt is not None and self.use is not None:
             self.use.cause = f"connection_lost:{type(error).__name__}" if error else "connection_ended"
         self.closed = True
+        self.remainder_wait.take()
         self.deferral.release()  # a reset is no end: another response may have been lost with it
         if self.reader is not None:
             self.reader.release()
@@ -214,6 +231,7 @@
     def close(self, cause: str) -> None:
         """Abort the connection; this does not end its attempt. `cause` is counted."""
         self.closed = True
+        self.remainder_wait.take()
         self.deferral.release()
         self.pool.problems.count(f"connections_closed_{cause}")
         self.pool.remove(self)
@@ -244,10 +262,46 @@
     # The end of an attempt
 
     def _finish_complete(self, reader: ResponseReader, stream_ended: bool = False) -> None:
-        """End the attempt with a complete response, or defer that if another one may follow."""
+        """End the attempt with a complete response, or wait for more of it if its body looks cut off."""
         if self.unsent and not self.pool.rules.may_precede_request:
             self._finish_unsent(reader)
             return
+        response = TimedResponse(reader, self._timing(reader))
+        if not stream_ended and self._looks_cut_off(response):
+            assert self.attempt is not None
+            wait_us = remainder_wait_us(response.timing.elapsed_us, self.attempt.limits.timeout_us)
+            self.pool.problems.count("responses_looking_cut_off")
+            self.remainder_wait.begin(response, wait_us)
+            return
+        self._finish_received(response, stream_ended)
+
+    def _looks_cut_off(self, response: TimedResponse) -> bool:
+        """Whether a response that would be passed on now may lack the end of its body."""
+        reader = response.reader
+        if reader.behind or reader.head_only or not response.timing.served:
+            return False
+        if self.pool.attribution.deferral_us(response.timing, clock_us()) > 0:
+            return False  # it is deferred anyway, and the remainder would be a second message
+        return body_end(reader.body) is BodyEnd.CUT_OFF
+
+    def _remainder_wait_expired(self) -> None:
+        if (awaited := self.remainder_wait.take()) is not None:
+            self._finish_awaited(awaited, stream_ended=False)
+
+    def _finish_followed(self, response: TimedResponse, data: bytes) -> None:
+        """End the attempt with a response whose body looked cut off, and that these bytes have followed."""
+        response.reader.behind = data
+        self.closed = True
+        self._finish_awaited(response, stream_ended=False)
+
+    def _finish_awaited(self, response: TimedResponse, stream_ended: bool) -> None:
+        """End the attempt with a response, as the wait for the remainder of its body is over."""
+        self.deferred_us = clock_us() - self.sent_us - response.timing.elapsed_us
+        self._finish_received(response, stream_ended)
+
+    def _finish_received(self, response: TimedResponse, stream_ended: bool) -> None:
+        """End the attempt with a response unless more of its body follows, or defer it."""
+        reader = response.reader
         if reader.behind:
             if not reader.head_only and is_remainder_of_body(
                 bytes(reader.body), reader.behind, reader.chunked
@@ -256,7 +310,6 @@
                 self._drop_response(reader, "response_longer_than_told", Outcome.MALFORMED)
                 return
             self.pool.strays.behind_response(self.history, reader.behind, self._request_name())
-        response = TimedResponse(reader, self._timing(reader))
         decision = self.deferral.evaluate(response, stream_ended)
         if decision is Decision.DEFER:
             assert self.attempt is not None
--- a/tests/decisions/test_response_excess.py
+++ b/tests/decisions/test_response_excess.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from plovertrail.decisions.response_excess import is_remainder_of_body
+from plovertrail.decisions.response_excess import (
+    REMAINDER_WAIT_US,
+    BodyEnd,
+    body_end,
+    is_remainder_of_body,
+    remainder_wait_us,
+)
 
 RECEIPT = json.dumps({"title": "Ang Niño", "price": "₱150", "booked": True}, ensure_ascii=False).encode()
 TEXT = b"one receipt for each of two readers"
@@ -67,3 +73,32 @@
 def test_text_whose_last_character_has_come_in_part_is_text() -> None:
     whole = "one receipt for Niño".encode()
     assert is_remainder_of_body(TEXT, whole[: whole.index(b"\xb1")], chunked=False)
+
+
+@pytest.mark.parametrize("length", range(1, len(RECEIPT)))
+def test_a_document_that_is_cut_off_anywhere_shows_it(length: int) -> None:
+    assert body_end(RECEIPT[:length]) is BodyEnd.CUT_OFF
+
+
+@pytest.mark.parametrize(
+    "body", [RECEIPT, RECEIPT + b"\r\n", b"[]", b'{"a": "}"}', b'[{"a": "[{"}]', b"{name}"]
+)
+def test_a_document_that_is_not_cut_off_is_whole(body: bytes) -> None:
+    assert body_end(body) is BodyEnd.WHOLE
+
+
+def test_text_that_ends_within_a_character_is_cut_off() -> None:
+    text = "paid: ₱".encode()
+    assert [body_end(text[:-missing]) for missing in (1, 2)] == [BodyEnd.CUT_OFF] * 2
+
+
+@pytest.mark.parametrize("body", [b"", b"done", "paid: ₱".encode(), TEXT, BINARY, NOISE, b"\x00\xe2"])
+def test_other_bodies_show_nothing(body: bytes) -> None:
+    assert body_end(body) is BodyEnd.UNKNOWN
+
+
+def test_the_wait_for_a_remainder_leaves_half_of_the_time_of_its_attempt() -> None:
+    assert remainder_wait_us(1_000, 0) == REMAINDER_WAIT_US
+    assert remainder_wait_us(10_000, 1_000_000) == REMAINDER_WAIT_US
+    assert remainder_wait_us(90_000, 100_000) == 5_000
+    assert remainder_wait_us(200_000, 100_000) == 0
--- a/tests/upstreams/test_response_excess.py
+++ b/tests/upstreams/test_response_excess.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
 from plovertrail.decisions.events import Outcome
+from plovertrail.decisions.response_excess import REMAINDER_WAIT_US
 from tests.daemons import run
 from tests.net import OK, Script, Upstream
 from tests.upstreams.test_response_attribution import WORK_US, ask, experienced_pool
@@ -33,6 +36,24 @@
     return script
 
 
+def written_and_closed(response: bytes, reset: bool = False) -> Script:
+    """Write a response once the request has been worked on, and end the connection soon after."""
+
+    async def script(
+        _upstream: Upstream, _number: int, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(WORK_US / 1e6)
+        writer.write(response)
+        await asyncio.sleep(0.005)
+        if reset:
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        writer.close()
+
+    return script
+
+
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -47,6 +68,10 @@
         (head(4) + b"done\n",),
         (head(3) + bytes(range(256)),),
         (CHUNKED + b"2\r\nab\r\n0\r\n\r\n2\r\ncd\r\n0\r\n\r\n",),
+        (head(len(RECEIPT)) + RECEIPT.encode()[: len(RECEIPT)], RECEIPT.encode()[len(RECEIPT) :]),
+        (head(4), b'{"a"', b":1}"),
+        (head(2) + "₱1".encode()[:2], "₱1".encode()[2:]),
+        (CHUNKED + b"3\r\n[1,\r\n0\r\n\r\n", b"2\r\n2]\r\n0\r\n\r\n"),
     ],
 )
 def test_a_response_longer_than_its_length_ends_as_one_that_may_have_run(pieces: tuple[bytes, ...]) -> None:
@@ -82,3 +107,48 @@
         upstream.stop()
 
     run(test)
+
+
+UNFINISHED = b"[INFO] done"  # begins as a document, and is none
+
+
+# Guards against good responses that fail, or wait for long, because their bodies look cut off.
+@pytest.mark.parametrize("behind", [(), (head(len(UNFINISHED)) + UNFINISHED,), (NOISE + b"\r\n\r\n",)])
+def test_a_body_that_looks_cut_off_is_served_if_no_remainder_follows(behind: tuple[bytes, ...]) -> None:
+    async def test() -> None:
+        upstream = Upstream(written(head(len(UNFINISHED)) + UNFINISHED, *behind))
+        await upstream.start()
+        pool = experienced_pool()
+        result = await ask(pool, upstream)
+        assert (result.outcome, result.body) == (Outcome.OK, UNFINISHED)
+        assert result.deferred_us >= (1_000 if behind else REMAINDER_WAIT_US)
+        assert pool.count == (0 if behind else 1)
+        upstream.stop()
+
+    run(test)
+
+
+def test_the_end_of_the_stream_ends_the_wait_for_a_remainder() -> None:
+    async def test() -> None:
+        upstream = Upstream(written_and_closed(head(len(UNFINISHED)) + UNFINISHED))
+        await upstream.start()
+        result = await ask(experienced_pool(), upstream)
+        assert (result.outcome, result.body) == (Outcome.OK, UNFINISHED)
+        assert result.deferred_us < REMAINDER_WAIT_US
+        upstream.stop()
+
+    run(test)
+
+
+# Guards against a body that was cut off and is served, as its connection was reset before the remainder.
+def test_a_reset_in_the_wait_for_a_remainder_ends_the_attempt_as_one_that_may_have_run() -> None:
+    async def test() -> None:
+        upstream = Upstream(written_and_closed(head(len(UNFINISHED)) + UNFINISHED, reset=True))
+        await upstream.start()
+        pool = experienced_pool()
+        result = await ask(pool, upstream)
+        assert result.outcome is Outcome.RESET
+        assert pool.count == 0
+        upstream.stop()
+
+    run(test)
