An empty body that is said to be JSON waits for its remainder too

Callers saw: an empty 200 where a server gives its JSON a Content-Length of 0 and writes head and body apart, as many do.

Cause: with a length of 0 the head is the whole response, so the body is what comes one read later.

Change: no JSON document is empty, so such a body looks cut off. Other empty answers are passed on at once, as before.

The new test of the pool failed before with the body in a read of its own.

--- a/plovertrail/decisions/response_excess.py
+++ b/plovertrail/decisions/response_excess.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 import codecs
-import enum
 import json
 import re
 
@@ -29,22 +28,19 @@
 MAX_WAIT_FRACTION = 0.5  # of the time that the attempt has left
 
 
-class BodyEnd(enum.Enum):
-    """What a body shows by itself of whether its end is missing."""
+def looks_cut_off(body: bytes | bytearray, is_json: bool) -> bool:
+    """Return whether a body ends before its own form does: a JSON document, or text in UTF-8.
 
-    WHOLE = "whole"
-    CUT_OFF = "cut off"
-    UNKNOWN = "unknown"
-
-
-def body_end(body: bytes | bytearray) -> BodyEnd:
-    """Return whether a body is whole, by its own form: a JSON document, or text in UTF-8."""
+    `is_json`: its head says that it is JSON, of which no document is empty.
+    """
     text = body.strip()
+    if not text:
+        return is_json
     for opening, closing in BRACKETS:
         if text.startswith(opening):
             is_closed = text.endswith(closing) and all(text.count(a) == text.count(b) for a, b in BRACKETS)
-            return BodyEnd.WHOLE if is_closed or _is_document(text) else BodyEnd.CUT_OFF
-    return BodyEnd.CUT_OFF if _ends_within_character(body) else BodyEnd.UNKNOWN
+            return not is_closed and not _is_document(text)
+    return _ends_within_character(body)
 
 
 def remainder_wait_us(elapsed_us: int, timeout_us: int) -> int:
--- a/plovertrail/upstreams/connection.py
+++ b/plovertrail/upstreams/connection.py
@@ -14,9 +14,8 @@
 from plovertrail.decisions.events import Outcome
 from plovertrail.decisions.response_attribution import ResponseAttribution, ResponseTiming
 from plovertrail.decisions.response_excess import (
-    BodyEnd,
-    body_end,
     is_remainder_of_body,
+    looks_cut_off,
     remainder_wait_us,
 )
 from plovertrail.dispatch.types import ConnectionUse, TransportResult, Tunnel, WebSocketHandshake
@@ -282,7 +281,7 @@
             return False
         if self.pool.attribution.deferral_us(response.timing, clock_us()) > 0:
             return False  # it is deferred anyway, and the remainder would be a second message
-        return body_end(reader.body) is BodyEnd.CUT_OFF
+        return looks_cut_off(reader.body, reader.is_json)
 
     def _remainder_wait_expired(self) -> None:
         if (awaited := self.remainder_wait.take()) is not None:
--- a/plovertrail/upstreams/response_reader.py
+++ b/plovertrail/upstreams/response_reader.py
@@ -12,6 +12,7 @@
 MAX_HEAD_BYTES = 32 * 1024
 EMPTY_LINE = b"\r\n\r\n"  # ends heads and chunked bodies
 LAST_BYTES = len(EMPTY_LINE) - 1
+JSON_TYPE = b"application/json"
 FRAMING_FACTOR = 4  # limit of a whole response, with head and framing, as a multiple of max_body_bytes
 
 
@@ -114,6 +115,14 @@
         """The headers of the final response."""
         return self._headers.all()
 
+    @property
+    def is_json(self) -> bool:
+        """Whether the head says that the body is JSON."""
+        return any(
+            name.lower() == b"content-type" and value.strip().lower().startswith(JSON_TYPE)
+            for name, value in self._headers.all()
+        )
+
     def end_of_stream(self) -> bool:
         """Handle the end of the stream; returns whether it completes the response (RFC 9112, section 6.3).
 
--- a/tests/decisions/test_response_excess.py
+++ b/tests/decisions/test_response_excess.py
@@ -8,9 +8,8 @@
 
 from plovertrail.decisions.response_excess import (
     REMAINDER_WAIT_US,
-    BodyEnd,
-    body_end,
     is_remainder_of_body,
+    looks_cut_off,
     remainder_wait_us,
 )
 
@@ -77,24 +76,29 @@
 
 @pytest.mark.parametrize("length", range(1, len(RECEIPT)))
 def test_a_document_that_is_cut_off_anywhere_shows_it(length: int) -> None:
-    assert body_end(RECEIPT[:length]) is BodyEnd.CUT_OFF
+    assert looks_cut_off(RECEIPT[:length], is_json=False)
+
+
+def test_text_that_ends_within_a_character_is_cut_off() -> None:
+    text = "paid: ₱".encode()
+    assert looks_cut_off(text[:-1], is_json=False)
+    assert looks_cut_off(text[:-2], is_json=False)
+
+
+def test_nothing_is_no_json() -> None:
+    assert looks_cut_off(b"", is_json=True)
 
 
 @pytest.mark.parametrize(
     "body", [RECEIPT, RECEIPT + b"\r\n", b"[]", b'{"a": "}"}', b'[{"a": "[{"}]', b"{name}"]
 )
-def test_a_document_that_is_not_cut_off_is_whole(body: bytes) -> None:
-    assert body_end(body) is BodyEnd.WHOLE
-
-
-def test_text_that_ends_within_a_character_is_cut_off() -> None:
-    text = "paid: ₱".encode()
-    assert [body_end(text[:-missing]) for missing in (1, 2)] == [BodyEnd.CUT_OFF] * 2
+def test_a_whole_document_does_not_look_cut_off(body: bytes) -> None:
+    assert not looks_cut_off(body, is_json=True)
 
 
 @pytest.mark.parametrize("body", [b"", b"done", "paid: ₱".encode(), TEXT, BINARY, NOISE, b"\x00\xe2"])
 def test_other_bodies_show_nothing(body: bytes) -> None:
-    assert body_end(body) is BodyEnd.UNKNOWN
+    assert not looks_cut_off(body, is_json=False)
 
 
 def test_the_wait_for_a_remainder_leaves_half_of_the_time_of_its_attempt() -> None:
--- a/tests/upstreams/test_response_excess.py
+++ b/tests/upstreams/test_response_excess.py
@@ -16,6 +16,7 @@
 
 RECEIPT = '{"title": "Ang Niño", "price": "₱150", "booked": true}'
 NOISE = bytes(range(128, 176))
+JSON_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 0\r\n\r\n"
 
 
 def head(length: int) -> bytes:
@@ -70,6 +71,7 @@
         (CHUNKED + b"2\r\nab\r\n0\r\n\r\n2\r\ncd\r\n0\r\n\r\n",),
         (head(len(RECEIPT)) + RECEIPT.encode()[: len(RECEIPT)], RECEIPT.encode()[len(RECEIPT) :]),
         (head(4), b'{"a"', b":1}"),
+        (JSON_HEAD, RECEIPT.encode()),
         (head(2) + "₱1".encode()[:2], "₱1".encode()[2:]),
         (CHUNKED + b"3\r\n[1,\r\n0\r\n\r\n", b"2\r\n2]\r\n0\r\n\r\n"),
     ],
