A text where a figure was, or port 0 of discovery, rejects a configuration at SIGHUP

A deadline or a number of attempts as text ("4000") is no number above 0, so the file is to be rejected whole; at port 0 nobody listens.

Port 70000 was rejected, 0 was not.

Change: a value has to be of the same kind as in force: text, figure, truth value, object or list. Whole and other figures are one kind. Port 0 is no address of discovery; `listen` may have it.

Two of the new cases failed before: "8000000" for a figure and port 0; another figure of the same kind is applied.

--- a/plovertrail/config/platform.py
+++ b/plovertrail/config/platform.py
@@ -63,18 +63,33 @@
     return host, int(port)
 
 
+def parse_remote_address(text: str) -> tuple[str, int]:
+    """The two parts of `host:port` to connect to."""
+    host, port = parse_address(text)
+    if port == 0:
+        raise ValueError(f"expected a port to connect to, got {text!r}")
+    return host, port
+
+
+def kind_of(value: object) -> type:
+    """The kind of a JSON value; whole and other numbers are one kind."""
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        return float
+    return type(value)
+
+
 def missing_keys(expected: object, given: object, path: str = "") -> list[str]:
     """The paths of the keys that one part of a file has and the same part of another lacks.
 
-    A key is lacking too if its value is null, or an object or a list where it was not one. Each object of a
-    list needs the keys that all objects of the expected list have; the lengths of the lists may differ.
+    A key is lacking too if its value is null or of another kind. Each object of a list needs the keys that
+    all objects of the expected list have; the lengths of the lists may differ.
     """
+    if kind_of(given) is not kind_of(expected):
+        return [path]
     if isinstance(expected, Mapping):
         return _missing_of_object(expected, given, path)
-    if not isinstance(expected, list):
-        return [path] if isinstance(given, Mapping | list) else []
-    if not isinstance(given, list):
-        return [path]
+    if not isinstance(expected, list) or not isinstance(given, list):
+        return []
     if not expected or not all(isinstance(item, Mapping) for item in expected):
         return []
     common = {key: value for key, value in expected[0].items() if all(key in item for item in expected)}
@@ -117,7 +132,7 @@
     """
     successor = load(path)
     if missing := missing_keys(current.document, successor.document):
-        raise ConfigurationError(f"keys are missing: {', '.join(missing)}")
+        raise ConfigurationError(f"keys are missing or of another kind: {', '.join(missing)}")
     return successor
 
 
@@ -126,7 +141,7 @@
     pairs = flatten(settings)
     return Config(
         listen=parse_address(raw["listen"]),
-        discovery=parse_address(raw["discovery"]),
+        discovery=parse_remote_address(raw["discovery"]),
         seed=int(raw["seed"], 16),
         sockets=int(raw["limits"]["sockets"]),
         settings=settings_from_pairs(pairs),
--- a/tests/config/test_platform.py
+++ b/tests/config/test_platform.py
@@ -102,6 +102,7 @@
     "listen is null": lambda it: it.update(listen=None),
     "discovery is a list": lambda it: it.update(discovery=[]),
     "no such port": lambda it: it.update(discovery="127.0.0.1:70000"),
+    "a port that nobody listens on": lambda it: it.update(discovery="127.0.0.1:0"),
     "an infinite time": lambda it: it["settings"]["bounds"].update({"conn-idle": 1e999}),
     "a null class": lambda it: it["settings"].update({"request-classes": [None]}),
     "no class": lambda it: it["settings"].update({"request-classes": []}),
@@ -171,7 +172,7 @@
     assert len(required) > 50
 
 
-@pytest.mark.parametrize("value", [{}, [], [{}], {"figure": 1}])
+@pytest.mark.parametrize("value", [{}, [], [{}], {"figure": 1}, "8000000", False])
 def test_a_value_of_another_kind_is_rejected_like_a_missing_one(tmp_path: Path, value: object) -> None:
     def changed_span(document: dict[str, Any]) -> None:
         first_class(document).update({"memory-span": value})
@@ -194,6 +195,7 @@
     "no tenants": lambda it: it["settings"].update(accounts=[]),
     "no peers": lambda it: it.update(peers=[]),
     "new keys": lambda it: it["settings"].update({"new": {"figure": 1}}),
+    "another figure": lambda it: first_class(it).update({"memory-span": 5e6}),
     "an empty text": lambda it: it.update(name=""),
     "fewer attempts": lambda it: it["settings"]["bounds"].update({"most-tries": 1}),
     "a stricter effect": lambda it: it["settings"]["request-classes"][1].update(effect="at_most_once"),
