Positions of short headers take two bytes each, so that the shortest ones leave room too

Callers saw: nothing yet.

Cause: a packed header keeps its bytes and two positions of four bytes, so a header of 4 bytes took 9, and the limit on all incomplete requests counts bytes of the wire.

Change: positions take two bytes while the headers of a message are no longer than 65,535 bytes, four behind that.

--- a/plovertrail/http1/header_block.py
+++ b/plovertrail/http1/header_block.py
@@ -8,6 +8,9 @@
 
 Header = tuple[bytes, bytes]
 MAX_UNPACKED_HEADERS = 32  # with fewer, packing is not worth its time
+SHORT_POSITIONS = "H"  # of array: 2 bytes each
+LONG_POSITIONS = "I"
+MAX_SHORT_POSITION = 0xFFFF
 
 
 class HeaderBlock:
@@ -21,7 +24,7 @@
 
     def __init__(self, headers: Iterable[Header] = ()) -> None:
         self._data = bytearray()
-        self._ends = array("I")  # where each name and each value ends in the data
+        self._ends = array(SHORT_POSITIONS)  # where each name and each value ends in the data
         self.extend(headers)
 
     def extend(self, headers: Iterable[Header]) -> None:
@@ -29,8 +32,10 @@
         parts = list(chain.from_iterable(headers))
         ends = accumulate(map(len, parts), initial=len(self._data))
         next(ends)  # the initial value
-        self._ends.extend(ends)
         self._data += b"".join(parts)
+        if len(self._data) > MAX_SHORT_POSITION and self._ends.typecode == SHORT_POSITIONS:
+            self._ends = array(LONG_POSITIONS, self._ends)
+        self._ends.extend(ends)
 
     def __len__(self) -> int:
         return len(self._ends) // 2
