--- a/plovertrail/upstreams/connection.py
+++ b/plovertrail/upstreams/connection.py
@@ -6,64 +6,24 @@
 import contextlib
 import logging
 import socket
-from typing import Protocol
 
 import httptools
 
 from plovertrail.clock import clock_us
 from plovertrail.decisions.events import Outcome
-from plovertrail.decisions.response_attribution import ResponseAttribution, ResponseTiming
-from plovertrail.decisions.response_excess import (
-    is_remainder_of_body,
-    looks_cut_off,
-    remainder_wait_us,
-)
+from plovertrail.decisions.response_attribution import ResponseTiming
+from plovertrail.decisions.response_excess import is_remainder_of_body
 from plovertrail.dispatch.types import ConnectionUse, TransportResult, Tunnel, WebSocketHandshake
-from plovertrail.problem_log import ProblemLog
 from plovertrail.upstreams.attempt import Attempt
+from plovertrail.upstreams.connection_owner import ConnectionOwner
 from plovertrail.upstreams.deferred_response import Decision, DeferredResponse, TimedResponse
 from plovertrail.upstreams.remainder_wait import RemainderWait
-from plovertrail.upstreams.response_reader import ResponseReader, ResponseRules
-from plovertrail.upstreams.stray_messages import MAX_LOGGED_BYTES, ConnectionHistory, StrayMessages
+from plovertrail.upstreams.response_reader import ResponseReader
+from plovertrail.upstreams.stray_messages import MAX_LOGGED_BYTES, ConnectionHistory
 
 log = logging.getLogger(__name__)
 
 
-class ConnectionOwner(Protocol):
-    """What a connection needs of its pool."""
-
-    @property
-    def rules(self) -> ResponseRules:
-        """Which responses are accepted."""
-
-    @property
-    def problems(self) -> ProblemLog:
-        """Where closed connections and unexpected bytes are reported."""
-
-    @property
-    def attribution(self) -> ResponseAttribution:
-        """Statistics on the stray messages and response times of the endpoints."""
-
-    @property
-    def strays(self) -> StrayMessages:
-        """Where messages that no request asked for are recorded."""
-
-    def turn_is_stale(self) -> bool:
-        """Whether the process was paused during this iteration of the event loop."""
-
-    def keep_idle(self, connection: Connection) -> None:
-        """Keep a connection for later requests, or close it."""
-
-    def record_reuse(self, idle_us: int, broke: bool) -> None:
-        """Record whether a connection broke when it was reused after this idle time."""
-
-    def add(self, connection: Connection) -> int:
-        """Add a connection to the pool; returns its number."""
-
-    def remove(self, connection: Connection) -> None:
-        """Remove a connection from the pool."""
-
-
 class Connection(asyncio.Protocol):
     """A connection to one endpoint; it adds itself to `pool`."""
 
@@ -76,7 +36,7 @@
         self.attempt: Attempt | None = None
         self.reader: ResponseReader | None = None  # reads the response to the attempt that was sent
         self.deferral = DeferredResponse(pool.attribution, self._deferral_expired)
-        self.remainder_wait = RemainderWait(self._remainder_wait_expired)
+        self.remainder_wait = RemainderWait(pool.attribution, pool.problems, self._finish_awaited)
         self.idle_us = 0  # how long it was idle before the current request
         self.sent_us = 0  # when the current request was written
         self.deferred_us = 0  # for how long its response was deferred
@@ -132,8 +92,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of the response; invalid HTTP ends the attempt with MALFORMED."""
-        if (awaited := self.remainder_wait.take()) is not None:
-            self._finish_followed(awaited, data)
+        if self.remainder_wait.end(data):
             return
         if self.deferral.deferred is not None:
             self.deferral.another_follows()
@@ -170,9 +129,9 @@
     def eof_received(self) -> None:
         """Complete a response without a length, which ends with the stream (but not with a reset)."""
         self.closed = True
-        if (awaited := self.remainder_wait.take()) is not None:
-            self._finish_awaited(awaited, stream_ended=True)
-        elif self.deferral.deferred is not None:
+        if self.remainder_wait.end(stream_ended=True):
+            return
+        if self.deferral.deferred is not None:
             self._finish_deferred(self.deferral.deferred, stream_ended=True)
         elif self.attempt is not None and self.reader is not None and self.reader.end_of_stream():
             self._finish_complete(self.reader, stream_ended=True)
@@ -182,7 +141,7 @@
         if self.attempt is not None and self.use is not None:
             self.use.cause = f"connection_lost:{type(error).__name__}" if error else "connection_ended"
         self.closed = True
-        self.remainder_wait.take()
+        self.remainder_wait.release()
         self.deferral.release()  # a reset is no end: another response may have been lost with it
         if self.reader is not None:
             self.reader.release()
@@ -230,7 +189,7 @@
     def close(self, cause: str) -> None:
         """Abort the connection; this does not end its attempt. `cause` is counted."""
         self.closed = True
-        self.remainder_wait.take()
+        self.remainder_wait.release()
         self.deferral.release()
         self.pool.problems.count(f"connections_closed_{cause}")
         self.pool.remove(self)
@@ -266,35 +225,12 @@
             self._finish_unsent(reader)
             return
         response = TimedResponse(reader, self._timing(reader))
-        if not stream_ended and self._looks_cut_off(response):
-            assert self.attempt is not None
-            wait_us = remainder_wait_us(response.timing.elapsed_us, self.attempt.limits.timeout_us)
-            self.pool.problems.count("responses_looking_cut_off")
-            self.remainder_wait.begin(response, wait_us)
-            return
-        self._finish_received(response, stream_ended)
-
-    def _looks_cut_off(self, response: TimedResponse) -> bool:
-        """Whether a response that would be passed on now may lack the end of its body."""
-        reader = response.reader
-        if reader.behind or reader.head_only or not response.timing.served:
-            return False
-        if self.pool.attribution.deferral_us(response.timing, clock_us()) > 0:
-            return False  # it is deferred anyway, and the remainder would be a second message
-        return looks_cut_off(reader.body, reader.is_json)
-
-    def _remainder_wait_expired(self) -> None:
-        if (awaited := self.remainder_wait.take()) is not None:
-            self._finish_awaited(awaited, stream_ended=False)
-
-    def _finish_followed(self, response: TimedResponse, data: bytes) -> None:
-        """End the attempt with a response whose body looked cut off, and that these bytes have followed."""
-        response.reader.behind = data
-        self.closed = True
-        self._finish_awaited(response, stream_ended=False)
+        if stream_ended or not self.remainder_wait.begin(response):
+            self._finish_received(response, stream_ended)
 
     def _finish_awaited(self, response: TimedResponse, stream_ended: bool) -> None:
         """End the attempt with a response, as the wait for the remainder of its body is over."""
+        self.closed = self.closed or bool(response.reader.behind)
         self.deferred_us = clock_us() - self.sent_us - response.timing.elapsed_us
         self._finish_received(response, stream_ended)
 
--- a/plovertrail/upstreams/remainder_wait.py
+++ b/plovertrail/upstreams/remainder_wait.py
@@ -5,26 +5,64 @@
 import asyncio
 from collections.abc import Callable
 
+from plovertrail.clock import clock_us
+from plovertrail.decisions.response_attribution import ResponseAttribution
+from plovertrail.decisions.response_excess import looks_cut_off, remainder_wait_us
+from plovertrail.problem_log import ProblemLog
 from plovertrail.upstreams.deferred_response import TimedResponse
 
+ResponseCallback = Callable[[TimedResponse, bool], None]  # the response, and whether the stream has ended
+
 
 class RemainderWait:
-    """Holds back one response at a time; calls `on_expiry` when nothing has followed it."""
+    """Holds back one response at a time; calls `on_end` once more of it has come, or nothing has."""
+
+    __slots__ = ("_attribution", "_problems", "_on_end", "_response", "_timer")
 
-    def __init__(self, on_expiry: Callable[[], None]) -> None:
-        self._on_expiry = on_expiry
+    def __init__(
+        self, attribution: ResponseAttribution, problems: ProblemLog, on_end: ResponseCallback
+    ) -> None:
+        self._attribution = attribution
+        self._problems = problems
+        self._on_end = on_end
         self._response: TimedResponse | None = None
         self._timer: asyncio.TimerHandle | None = None
 
-    def begin(self, response: TimedResponse, wait_us: int) -> None:
-        """Hold a response back for this time."""
+    def begin(self, response: TimedResponse) -> bool:
+        """Hold a response back if its body looks cut off; returns whether it is held back."""
+        if not self._may_lack_its_end(response) or self._is_deferred(response):
+            return False
+        self._problems.count("responses_looking_cut_off")
+        wait_us = remainder_wait_us(response.timing.elapsed_us, response.timing.timeout_us)
         self._response = response
-        self._timer = asyncio.get_running_loop().call_later(wait_us / 1e6, self._on_expiry)
+        self._timer = asyncio.get_running_loop().call_later(wait_us / 1e6, self.end)
+        return True
+
+    def end(self, data: bytes = b"", stream_ended: bool = False) -> bool:
+        """End the wait, with the bytes that have followed; returns whether a response was held back."""
+        response = self._response
+        self.release()
+        if response is None:
+            return False
+        response.reader.behind = data
+        self._on_end(response, stream_ended)
+        return True
 
-    def take(self) -> TimedResponse | None:
-        """End the wait, and return the response that was held back; None if none was."""
-        response, self._response = self._response, None
+    def release(self) -> None:
+        """End the wait; the response is dropped."""
+        self._response = None
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        return response
+
+    @staticmethod
+    def _may_lack_its_end(response: TimedResponse) -> bool:
+        """Whether a response would be given to the client, and its body looks cut off."""
+        reader = response.reader
+        if reader.behind or reader.head_only or not response.timing.served:
+            return False
+        return looks_cut_off(reader.body, is_json=not reader.body and reader.is_json)
+
+    def _is_deferred(self, response: TimedResponse) -> bool:
+        """Whether a response is deferred anyway, so that a remainder is found as a second message."""
+        return self._attribution.deferral_us(response.timing, clock_us()) > 0
