Noise behind a whole document that begins like a further one is no remainder

Callers saw: 500 for a good answer with noise behind it, where the noise begins with a brace, a bracket or a comma, with or without white space before: about one in eighty noises of random bytes.

Cause: what follows a whole JSON document was judged by its first byte alone.

Change: it has to be text too, as a list of documents would be.

Result: two of the new cases, noise behind "{" and " ,", failed before. Line ends, further documents and all other remainders are judged as before.

--- a/plovertrail/decisions/response_excess.py
+++ b/plovertrail/decisions/response_excess.py
@@ -57,7 +57,7 @@
     if chunked and CHUNK_START.match(behind):
         return True
     if _is_document(body):
-        return behind.lstrip()[:1] in DOCUMENT_GOES_ON
+        return behind.lstrip()[:1] in DOCUMENT_GOES_ON and _is_text(behind)
     if _is_document(body + behind):
         return True
     if behind.strip() and behind.endswith(HEAD_END):
--- a/tests/decisions/test_response_excess.py
+++ b/tests/decisions/test_response_excess.py
@@ -64,7 +64,7 @@
     assert not is_remainder_of_body(body, NOISE, chunked=False)
 
 
-@pytest.mark.parametrize("behind", [b"noise", NOISE])
+@pytest.mark.parametrize("behind", [b"noise", NOISE, b"{" + NOISE, b" ," + NOISE, b"\r\n\x00"])
 def test_what_follows_a_whole_document_is_no_rest(behind: bytes) -> None:
     assert not is_remainder_of_body(RECEIPT, behind, chunked=False)
 
