--- a/plovertrail/upstreams/connection.py
+++ b/plovertrail/upstreams/connection.py
@@ -244,7 +244,9 @@
                 self.pool.strays.remainder_of_body(self.history, reader, self._request_name())
                 self._drop_response(reader, "response_longer_than_told", Outcome.MALFORMED)
                 return
-            self.pool.strays.behind_response(self.history, reader.behind, self._request_name())
+            self.pool.strays.behind_response(
+                self.history, self.deferred_us, reader.behind, self._request_name()
+            )
         decision = self.deferral.evaluate(response, stream_ended)
         if decision is Decision.DEFER:
             assert self.attempt is not None
--- a/plovertrail/upstreams/stray_messages.py
+++ b/plovertrail/upstreams/stray_messages.py
@@ -44,10 +44,10 @@
             self.attribution.record_unprompted_stray(now_us - history.connected_us, now_us)
         self.report(history, now_us - since_us, data, request)
 
-    def behind_response(self, history: ConnectionHistory, data: bytes, request: str) -> None:
-        """Record bytes that came together with a response, and do not belong to it."""
-        self.attribution.record_late_stray(0, clock_us())
-        self.report(history, 0, data, request)
+    def behind_response(self, history: ConnectionHistory, after_us: int, data: bytes, request: str) -> None:
+        """Record bytes that came with a response, or `after_us` later, and do not belong to it."""
+        self.attribution.record_late_stray(after_us, clock_us())
+        self.report(history, after_us, data, request)
 
     def remainder_of_body(self, history: ConnectionHistory, reader: ResponseReader, request: str) -> None:
         """Count and log a response whose body goes on behind the length that it gives."""
