A 204 or 304 has no body, so none of it is awaited or found behind it

Callers saw (of the daemon; a sidecar gives its clients no such answer): a 304 that is said to be JSON, as most to an API are, came 50 ms late, and one with a body behind it, which it must not have, failed.

Change: the reader tells whether a response has no body, by its request or its status (RFC 9112, section 6.3).

Result: the four new cases failed before, two by 51 ms, two as malformed.

--- a/plovertrail/upstreams/connection.py
+++ b/plovertrail/upstreams/connection.py
@@ -238,7 +238,7 @@
         """End the attempt with a response unless more of its body follows, or defer it."""
         reader = response.reader
         if reader.behind:
-            if not reader.head_only and is_remainder_of_body(
+            if not reader.bodyless and is_remainder_of_body(
                 bytes(reader.body), reader.behind, reader.chunked
             ):
                 self.pool.strays.remainder_of_body(self.history, reader, self._request_name())
--- a/plovertrail/upstreams/remainder_wait.py
+++ b/plovertrail/upstreams/remainder_wait.py
@@ -59,7 +59,7 @@
     def _may_lack_its_end(response: TimedResponse) -> bool:
         """Whether a response would be given to the client, and its body looks cut off."""
         reader = response.reader
-        if reader.behind or reader.head_only or not response.timing.served:
+        if reader.behind or reader.bodyless or not response.timing.served:
             return False
         return looks_cut_off(reader.body, is_json=not reader.body and reader.is_json)
 
--- a/plovertrail/upstreams/response_reader.py
+++ b/plovertrail/upstreams/response_reader.py
@@ -13,6 +13,7 @@
 EMPTY_LINE = b"\r\n\r\n"  # ends heads and chunked bodies
 LAST_BYTES = len(EMPTY_LINE) - 1
 JSON_TYPE = b"application/json"
+BODYLESS_STATUSES = (204, 304)  # RFC 9112, section 6.3
 FRAMING_FACTOR = 4  # limit of a whole response, with head and framing, as a multiple of max_body_bytes
 
 
@@ -115,6 +116,11 @@
         """The headers of the final response."""
         return self._headers.all()
 
+    @property
+    def bodyless(self) -> bool:
+        """Whether the response has no body, whatever its headers say."""
+        return self.head_only or self.status in BODYLESS_STATUSES
+
     @property
     def is_json(self) -> bool:
         """Whether the head says that the body is JSON."""
--- a/tests/upstreams/test_response_attribution.py
+++ b/tests/upstreams/test_response_attribution.py
@@ -21,6 +21,7 @@
 from plovertrail.dispatch.types import Address, AttemptLimits, Headers, ProxyRequest, TransportResult
 from plovertrail.upstreams.attempt import Attempt
 from plovertrail.upstreams.connection_pool import ConnectionPool
+from plovertrail.upstreams.response_reader import ResponseRules
 from tests.daemons import run
 from tests.net import NOT_RUN, OK, Script, Upstream, answering, until
 
@@ -57,9 +58,9 @@
     return script
 
 
-def experienced_pool() -> ConnectionPool:
+def experienced_pool(rules: ResponseRules | None = None) -> ConnectionPool:
     """A pool that knows how long its endpoints take."""
-    pool = ConnectionPool(60_000_000, 1_000_000, 10)
+    pool = ConnectionPool(60_000_000, 1_000_000, 10, rules)
     for _ in range(MIN_SAMPLES):
         pool.attribution.record_accepted(ResponseTiming(0, WORK_US, TIMEOUT_US, None, False, True), False)
     return pool
--- a/tests/upstreams/test_response_excess.py
+++ b/tests/upstreams/test_response_excess.py
@@ -13,6 +13,7 @@
 from plovertrail.decisions.events import Outcome
 from plovertrail.decisions.response_attribution import REUSE_DELAY_FACTOR
 from plovertrail.decisions.response_excess import REMAINDER_WAIT_US
+from plovertrail.upstreams.response_reader import ResponseRules
 from tests.daemons import run
 from tests.net import OK, Script, Upstream
 from tests.upstreams.test_response_attribution import TIMEOUT_US, WORK_US, ask, experienced_pool
@@ -155,6 +156,21 @@
     run(test)
 
 
+# Guards against responses without a body that fail or wait, as their heads are those of one with a body.
+@pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
+@pytest.mark.parametrize("behind", [b"", RECEIPT.encode()])
+def test_a_status_without_a_body_has_no_remainder(status: bytes, behind: bytes) -> None:
+    async def test() -> None:
+        response = JSON_HEAD.replace(b"200 OK", status).replace(b"Length: 0", b"Length: %d" % len(RECEIPT))
+        upstream = Upstream(written(response + behind))
+        await upstream.start()
+        result = await ask(experienced_pool(ResponseRules(error_statuses=frozenset())), upstream)
+        assert (result.outcome, result.body, result.deferred_us) == (Outcome.OK, b"", 0)
+        upstream.stop()
+
+    run(test)
+
+
 # Guards against a late second message that counts as one at once: connections are used again too soon.
 @pytest.mark.usefixtures("long_wait")
 def test_a_message_in_the_wait_for_a_remainder_counts_with_its_delay() -> None:
