Tests: a wait for a CPU is not held against the time in which bad clients are answered

Hypotheses: the clients' bytes came late; the sidecar did not get to them; its limits are too long. A trial recorded when each client's bytes had left, the sidecar's CPU and its wait for one. Bytes leave within 0.25 s in all runs. The sidecar needs 0.7 to 0.9 s of CPU. Where it waits for 0 to 1.1 s of CPU the last client is answered after 2.4 to 2.5 s, where it waits for 3.4 to 4.8 s (48 busy processes) after 4.6 to 5.7 s. So it is the wait, which the limit of one core for a sidecar leaves out.

Change: the bound is as before plus what the kernel counts as that wait from the clients' start on; on a core of its own nothing changes.

--- a/tests/sidecar/test_memory_limit.py
+++ b/tests/sidecar/test_memory_limit.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from fakes.sidecar_rig.run_delay import run_delay_s
 from tests.net import (
     OK,
     Upstream,
@@ -104,6 +105,7 @@
         port = int(json.loads(path.read_text())["listen"].rpartition(":")[2])
         with program(path) as process:
             await until_listening(port)
+            run_delay_before_s = run_delay_s(process.pid)
             seen: list[float] = []
             watching = asyncio.create_task(watch_memory(process.pid, seen))
             stopped = [asyncio.create_task(send_and_stay(port, shape.data)) for _ in range(shape.clients)]
@@ -113,7 +115,9 @@
             watching.cancel()
             assert process.poll() is None
             assert max(seen) < shape.memory_mb
-            assert max(waited) < BAD_CLIENTS_ERROR_S + SLACK_S
+            # the sidecar is to have a core to itself, which other processes may take from it
+            waited_for_cpu_s = run_delay_s(process.pid) - run_delay_before_s
+            assert max(waited) < BAD_CLIENTS_ERROR_S + SLACK_S + waited_for_cpu_s
 
     run(test)
 
