Bodies cut off within a text, and lists with items of another kind, are found too

Seen on reading the change again: - a document that is cut off behind a bracket within a text, {"a":"}, counted as whole and was served. Quotes have to balance too, which costs one count.

A list with one more text is applied.

--- a/plovertrail/config/platform.py
+++ b/plovertrail/config/platform.py
@@ -81,8 +81,8 @@
 def missing_keys(expected: object, given: object, path: str = "") -> list[str]:
     """The paths of the keys that one part of a file has and the same part of another lacks.
 
-    A key is lacking too if its value is null or of another kind. Each object of a list needs the keys that
-    all objects of the expected list have; the lengths of the lists may differ.
+    A key or an item of a list is lacking too if its value is null or of another kind. Each object of a list
+    needs the keys that all objects of the expected list have; the lengths of the lists may differ.
     """
     if kind_of(given) is not kind_of(expected):
         return [path]
@@ -90,7 +90,10 @@
         return _missing_of_object(expected, given, path)
     if not isinstance(expected, list) or not isinstance(given, list):
         return []
-    if not expected or not all(isinstance(item, Mapping) for item in expected):
+    if not all(isinstance(item, Mapping) for item in expected):
+        kinds = {kind_of(item) for item in expected}
+        return [f"{path}[{index}]" for index, item in enumerate(given) if kind_of(item) not in kinds]
+    if not expected:
         return []
     common = {key: value for key, value in expected[0].items() if all(key in item for item in expected)}
     return [
--- a/plovertrail/decisions/response_excess.py
+++ b/plovertrail/decisions/response_excess.py
@@ -38,8 +38,7 @@
         return is_json
     for opening, closing in BRACKETS:
         if text.startswith(opening):
-            is_closed = text.endswith(closing) and all(text.count(a) == text.count(b) for a, b in BRACKETS)
-            return not is_closed and not _is_document(text)
+            return not (text.endswith(closing) and _is_balanced(text)) and not _is_document(text)
     return _ends_within_character(body)
 
 
@@ -92,6 +91,13 @@
     return True
 
 
+def _is_balanced(text: bytes | bytearray) -> bool:
+    """Whether all brackets and quotes of a document may be closed; this is cheaper than to parse it."""
+    if (text.count(b'"') - text.count(b'\\"')) % 2:
+        return False
+    return all(text.count(opening) == text.count(closing) for opening, closing in BRACKETS)
+
+
 def _ends_within_character(data: bytes | bytearray) -> bool:
     """Whether these bytes are text in UTF-8 but for the last character, which is cut off."""
     if data[-1:].isascii():
--- a/plovertrail/listeners/http_listener.py
+++ b/plovertrail/listeners/http_listener.py
@@ -77,7 +77,7 @@
             self.exchange.cancel()
 
     def linger(self) -> None:
-        """Start a lingering close; what was received is freed, since the client may stay for some time."""
+        """Start a lingering close, and free the received bytes: the client may keep the connection open."""
         self.reader.discard()
         self.pending = bytearray()
         super().linger()
--- a/plovertrail/upstreams/remainder_wait.py
+++ b/plovertrail/upstreams/remainder_wait.py
@@ -15,7 +15,7 @@
 
 
 class RemainderWait:
-    """Holds back one response at a time; calls `on_end` once more of it has come, or nothing has."""
+    """Delays one response at a time; calls `on_end` when more bytes arrive, the stream ends or time is up."""
 
     __slots__ = ("_attribution", "_problems", "_on_end", "_response", "_timer")
 
--- a/tests/config/test_platform.py
+++ b/tests/config/test_platform.py
@@ -179,7 +179,9 @@
 
     assert after_reloads(tmp_path, changed(tmp_path, changed_span))[0] == []
     no_list = changed(tmp_path, lambda it: it["settings"].update(accounts="none"))
+    no_text = changed(tmp_path, lambda it: it.update(peers=["127.0.0.1:7946", value]))
     assert after_reloads(tmp_path, no_list)[0] == []
+    assert after_reloads(tmp_path, no_text)[0] == ([NEW_DISCOVERY] if isinstance(value, str) else [])
 
 
 def new_class(document: dict[str, Any]) -> None:
--- a/tests/decisions/test_response_excess.py
+++ b/tests/decisions/test_response_excess.py
@@ -79,6 +79,10 @@
     assert looks_cut_off(RECEIPT[:length], is_json=False)
 
 
+def test_a_document_that_is_cut_off_behind_a_bracket_within_a_text_shows_it() -> None:
+    assert looks_cut_off(b'{"a": "}', is_json=False)
+
+
 def test_text_that_ends_within_a_character_is_cut_off() -> None:
     text = "paid: ₱".encode()
     assert looks_cut_off(text[:-1], is_json=False)
@@ -90,7 +94,17 @@
 
 
 @pytest.mark.parametrize(
-    "body", [RECEIPT, RECEIPT + b"\r\n", b"[]", b'{"a": "}"}', b'[{"a": "[{"}]', b"{name}"]
+    "body",
+    [
+        RECEIPT,
+        RECEIPT + b"\r\n",
+        b"[]",
+        b'{"a": "}"}',
+        b'[{"a": "[{"}]',
+        b'{"a": "\\"}"}',
+        b'{"a": "\\\\"}',
+        b"{name}",
+    ],
 )
 def test_a_whole_document_does_not_look_cut_off(body: bytes) -> None:
     assert not looks_cut_off(body, is_json=True)
--- a/tests/sidecar/test_endpoint_list.py
+++ b/tests/sidecar/test_endpoint_list.py
@@ -255,7 +255,9 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     told: list[EndpointsUpdated] = []
-    stalled: list[bool] = []
+
+    async def until_lists_told(count: int) -> None:
+        await until(lambda: [event.kind for event in told].count(ListKind.FULL) >= count)
 
     async def test() -> None:
         server = Discovery()
@@ -265,22 +267,20 @@
             ("127.0.0.1", server.port), directory, lambda event, _addresses: told.append(event)
         )
         for falls_silent in (True, False):
-            told.clear()
             # long enough for a list to come though a busy machine holds this process up
             monkeypatch.setattr(discovery_module, "IDLE_TIMEOUT_S", 2.0 if falls_silent else 600.0)
             watch.subscribe(True)
             await server.watched()
             server.line(listing(entry("x", 1)))
-            await until(lambda: any(event.kind is ListKind.FULL for event in told))
+            await until_lists_told(1 if falls_silent else 2)
             if not falls_silent:
                 server.writers[-1].transport.abort()
             await until(lambda: told[-1].kind is ListKind.FAILED)
-            stalled.extend(event.watch_stalled for event in told if event.kind is ListKind.FAILED)
         watch.close()
         server.stop()
 
     run(test)
-    assert stalled == [True, False]
+    assert [event.watch_stalled for event in told if event.kind is ListKind.FAILED] == [True, False]
 
 
 def test_where_lists_are_pushed_the_agent_is_watched_for_good() -> None:
