A request is forwarded only if what stands behind it is a whole further request

Cause: bytes behind a request were judged by what they look like. Whatever the parser had not refused yet, from the first letter of a method on, was taken for a further request (on_message_begin, _may_begin_request). A line end behind a request was seen by no call of the parser.

Change: PlatformRequestReader knows to the byte where a request ends (EmptyLineFinder, taken out of ResponseReader). What is behind it goes to a reader of its own, and has to become a whole request that the listener accepts. Until then the request before it is not forwarded, or its response is not served; at its deadline, or at the first error, it is answered 400. Why it works: an incomplete message proves nothing, and only a complete one confirms the length before it.

Ways not taken: to refuse all that has bytes behind it (test_of_pipelined_requests_the_first_is_served_... would fail).

--- a/plovertrail/listeners/client_connection.py
+++ b/plovertrail/listeners/client_connection.py
@@ -49,6 +49,10 @@
             and time.monotonic() < self.state_since + WRITE_TIMEOUT_S
         )
 
+    def holds_complete_request(self) -> bool:
+        """Whether a complete request waits to be processed; closing the connection would lose it."""
+        return False
+
     def release(self) -> None:
         """Release the resources of the connection after it has ended."""
 
--- a/plovertrail/listeners/listener.py
+++ b/plovertrail/listeners/listener.py
@@ -199,6 +199,7 @@
     def _may_evict(client: ClientConnection, rule: EvictionRule, is_writing: bool) -> bool:
         return (
             client.transport is not None
+            and not client.holds_complete_request()
             and (rule.partial_requests or client.received_bytes == 0)
             and client.is_writing() is is_writing
             and (rule.state is ConnectionState.ENDING or client.has_nothing_unread())
--- a/plovertrail/listeners/platform_listener.py
+++ b/plovertrail/listeners/platform_listener.py
@@ -2,21 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import socket
 import time
 
-import httptools
-
+from plovertrail.clock import clock_us
 from plovertrail.decisions.settings import Settings
 from plovertrail.dispatch.dispatcher import Dispatcher
 from plovertrail.dispatch.server_pool import ServerPool
 from plovertrail.dispatch.types import ProxyRequest, ProxyResponse, ResponseKind
-from plovertrail.http1.header_block import IncomingHeaders
 from plovertrail.listeners.client_connection import ClientConnection
 from plovertrail.listeners.connection_state import ConnectionState
 from plovertrail.listeners.incomplete_requests import IncompleteRequests
 from plovertrail.listeners.listener import Listener
+from plovertrail.listeners.platform_request_reader import (
+    MALFORMED,
+    MAX_BODY_BYTES,
+    MAX_HEAD_BYTES,
+    PlatformRequestReader,
+)
 from plovertrail.listeners.platform_requests import (
     InvalidRequestError,
     RecentRequestIds,
@@ -25,15 +30,10 @@
 
 log = logging.getLogger(__name__)
 
-MAX_BODY_BYTES = 64 * 1024
-MAX_HEAD_BYTES = 16 * 1024
 MAX_PIPELINED_BYTES = 2 * (MAX_BODY_BYTES + MAX_HEAD_BYTES)  # one pipelined request always fits
 MEMORY_RETRY_AFTER_US = 1_000_000
 INCOMPLETE_STATES = (ConnectionState.NEW, ConnectionState.READING)
-FRAMING_HEADER_LENGTHS = (len("Content-Length"), len("Transfer-Encoding"))  # a head may have thousands
-MALFORMED = "malformed request"
 READINESS_TARGET = b"/up"
-SUPPORTED_VERSIONS = ("1.0", "1.1")
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -48,80 +48,55 @@
 
 
 class PlatformConnection(ClientConnection):
-    """One connection of the application."""
+    """One connection of the application, which sends one request at a time.
+
+    Bytes behind a complete request contradict its length, unless they are a further request from its first
+    byte to its last. So until they are one in full, the request before them is neither forwarded nor served;
+    at its deadline, or as soon as they can be none, it is answered 400.
+    """
 
     def __init__(self, platform_listener: PlatformListener, sock: socket.socket) -> None:
         super().__init__(platform_listener, sock)
         self.platform_listener = platform_listener
-        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
-        self.pipelined = False  # bytes arrived while a request was open
+        self.reader = PlatformRequestReader()
+        self.following: PlatformRequestReader | None = None  # reads what stands behind the request
+        self.request: ProxyRequest | None = None  # complete, and not forwarded yet
+        self.response: ProxyResponse | None = None  # to the open request, and not written yet
+        self.answer_by_us = 0  # the deadline of the current request
         self.close_after_response = False
+        self._timer: asyncio.TimerHandle | None = None
         self._reset()
 
     def _reset(self) -> None:
-        """Reset the parsing state for the next request."""
-        self.complete = False
-        self.head_complete = False
-        self.next_request_begun = False  # another request follows the complete one
+        """Reset the state for the next request."""
+        self.reader.reset()
         self.received_bytes = 0
         self.last_received = 0.0
         self._free_message()
 
     def _free_message(self) -> None:
-        """Free the received part of a request, once it has been submitted or rejected."""
-        self.target = b""
-        self.headers = IncomingHeaders()
-        self.body = bytearray()
+        """Free what was received of a request and behind it, once it has been submitted or answered."""
+        self.reader.free()
         self.platform_listener.incomplete.forget(self)
 
-    def release(self) -> None:
-        """Release the parser and the received part of a request, once the connection has ended."""
+    def _free_all(self) -> None:
+        """Free all that waits for further bytes."""
         self._free_message()
-        self.parser = None  # breaks a reference cycle that only a rare full garbage collection would free
-
-    # Parser callbacks
+        self._cancel_timer()
+        self.request = None
+        self.response = None
+        if self.following is not None:
+            self.following.release()
+            self.following = None
 
-    def on_message_begin(self) -> None:
-        """Parser callback: a request begins; after a complete one it is pipelined."""
-        if self.complete:
-            self.pipelined = True
-
-    def on_url(self, url: bytes) -> None:
-        """Parser callback: a further piece of the request target."""
-        if self.complete:
-            self.next_request_begun = True
-        else:
-            self.target += url
+    def release(self) -> None:
+        """Release the parsers and all that was received, once the connection has ended."""
+        self._free_all()
+        self.reader.release()
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Parser callback: one header. Raises InvalidRequestError if it announces a body that is rejected."""
-        if self.complete:
-            return
-        self.headers.append((name, value))
-        if len(name) not in FRAMING_HEADER_LENGTHS:
-            return
-        lower_name = name.lower()
-        if lower_name == b"transfer-encoding":
-            # a parser that uses it and one that uses Content-Length find the next request at different places
-            raise InvalidRequestError(400, "no chunked requests")
-        if lower_name == b"content-length" and int(value) > MAX_BODY_BYTES:
-            raise InvalidRequestError(413, "the body is too long")  # without reading the body
-
-    def on_headers_complete(self) -> None:
-        """Parser callback: the head is complete."""
-        self.head_complete = True
-
-    def on_body(self, data: bytes) -> None:
-        """Parser callback: a further piece of the body."""
-        if not self.complete:
-            self.body += data
-
-    def on_message_complete(self) -> None:
-        """Parser callback: the request is complete."""
-        assert self.parser is not None
-        if not self.complete and not self.parser.should_keep_alive():
-            self.close_after_response = True  # once it parses on, the parser always reports keep-alive
-        self.complete = True
+    def holds_complete_request(self) -> bool:
+        """Whether a complete request waits to be forwarded; closing the connection would lose it."""
+        return self.request is not None
 
     # Reading
 
@@ -130,93 +105,135 @@
         if self.state is ConnectionState.ENDING:
             self.discard(data)
             return
-        if self.state is ConnectionState.OPEN:
-            self._receive_pipelined(data)
-            return
         if self.state is ConnectionState.IDLE:
             self.platform_listener.set_state(self, ConnectionState.READING)
         self.last_received = time.monotonic()
         try:
-            self._receive(data)
-            if self.complete:
-                self._submit()
+            if self.state is ConnectionState.OPEN:
+                self._receive_following(data)
+            else:
+                self._receive(data)
         except InvalidRequestError as error:
-            self._write(error.status, str(error).encode() + b"\n", last=True)
+            self._reject(error.status, str(error).encode() + b"\n")
         except Exception:
             # an error in one request must not end the process or other requests
             log.exception("unexpected error while reading a request")
-            self._write(500, b"", last=True)
-        if self.state in INCOMPLETE_STATES:
-            self.headers.pause()
+            self._reject(500, b"")
+        if self.state in INCOMPLETE_STATES or self._awaits_following():
             self.platform_listener.limit_incomplete(self)
 
-    def _receive_pipelined(self, data: bytes) -> None:
-        """Drop pipelined bytes; the connection closes after the response to the open request.
-
-        If they are no request, they belong to the open one, and its length is too small: it was forwarded cut
-        off, and must not be served.
-        """
-        if not self.pipelined and self.close_after_response:
-            # the old parser reads nothing behind a request that is to be the last one
-            self.parser = httptools.HttpRequestParser(self)
-        self.pipelined = True
-        if not self.next_request_begun and not self._may_begin_request(data):
-            self.platform_listener.dispatcher.problems.count("requests_longer_than_told")
-            self._write(400, MALFORMED.encode() + b"\n", last=True)
-            self.platform_listener.dispatcher.disconnected(self.request_id)
+    def _receive(self, data: bytes) -> None:
+        """Parse a part of a request, or of what follows it; raises InvalidRequestError."""
+        if not self.reader.complete:
+            data = self.reader.feed(data)
+            self.received_bytes = self.reader.received_bytes
+            if not self.reader.complete:
+                self.reader.headers.pause()
+                return
+            self.close_after_response = not self.reader.keep_alive
+            if data:
+                self.following = PlatformRequestReader()
+            if self.reader.method == b"GET" and self.reader.target == READINESS_TARGET:
+                self.reader.check_version()
+                self._write(200 if self.platform_listener.is_ready else 503, b"")
+                return
+            self.request = self._make_request(self.reader)
+            self._free_message()
+        self._receive_following(data)
+        if self.request is not None and not self._awaits_following():
+            self._submit(self.request)
+
+    def _make_request(self, reader: PlatformRequestReader) -> ProxyRequest:
+        """Validate a complete request; raises InvalidRequestError."""
+        reader.check_version()
+        return self.platform_listener.catalog.make_request(
+            reader.method, reader.target, reader.headers.all(), bytes(reader.body)
+        )
+
+    def _receive_following(self, data: bytes) -> None:
+        """Read bytes behind a complete request; raises InvalidRequestError if they are no further one."""
+        if not data:
             return
         self.discarded_bytes += len(data)
-        if self.discarded_bytes > MAX_PIPELINED_BYTES:
+        if self.following is None:
+            self.following = PlatformRequestReader()
+        if not self.following.complete:
+            try:
+                self._parse_following(self.following, data)
+            except InvalidRequestError:
+                self._count_cut_off()
+                raise InvalidRequestError(400, MALFORMED) from None
+        if self.discarded_bytes > MAX_PIPELINED_BYTES and self.state is ConnectionState.OPEN:
             # a disconnect behind that many bytes would go unnoticed, and attempts would be sent for nobody
             self.close_after_response = True
             self.platform_listener.dispatcher.expire(self.request_id)
 
-    def _may_begin_request(self, data: bytes) -> bool:
-        """Whether these bytes may be the beginning of a request; the parser has read all before them."""
-        try:
-            self._parse(data)
-        except InvalidRequestError:
-            return self.next_request_begun
-        return True
-
-    def _receive(self, data: bytes) -> None:
-        """Parse a part of a request; raises InvalidRequestError, also if its head is too long."""
-        head_capacity = MAX_HEAD_BYTES - self.received_bytes
-        self.received_bytes += len(data)
-        if self.head_complete or len(data) <= head_capacity:
-            self._parse(data)
+    def _parse_following(self, following: PlatformRequestReader, data: bytes) -> None:
+        """Parse a part of the following request; once it is complete, the wait for it ends."""
+        following.feed(data)
+        if not following.complete:
+            following.headers.pause()
+            self._limit_wait()
             return
-        self._parse(data[:head_capacity])  # no more of a read than a head may have
-        if not self.head_complete:
-            raise InvalidRequestError(413, "the head is too long")
-        self._parse(data[head_capacity:])
-
-    def _parse(self, data: bytes) -> None:
-        """Feed bytes to the parser; raises InvalidRequestError."""
-        assert self.parser is not None
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            raise cause if isinstance(cause, InvalidRequestError) else error from None
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            # if the bytes after a complete request are no request, its length was wrong
-            raise InvalidRequestError(400, MALFORMED) from None
-
-    def _submit(self) -> None:
-        """Pass a complete request to the dispatcher; raises InvalidRequestError."""
+        self._make_request(following)
+        following.free()
+        self.platform_listener.incomplete.forget(self)
+        self._end_wait()
+
+    def incomplete_bytes(self) -> int:
+        """Return how much has come of a request that is not complete, and is held until it is."""
+        if self.following is None:
+            return self.reader.received_bytes
+        held_bytes = 0 if self.request is None else self.reader.received_bytes
+        return held_bytes + self.following.received_bytes
+
+    def _awaits_following(self) -> bool:
+        """Whether only a part of a further request has come, so that the one before may be cut off."""
+        return self.following is not None and not self.following.complete
+
+    def _limit_wait(self) -> None:
+        """Limit the wait for the remainder of the following request to the deadline of the current one."""
+        is_waiting = self.request is not None or self.response is not None
+        if is_waiting and self._timer is None:
+            left_us = max(0, self._current_deadline_us() - clock_us())
+            self._timer = asyncio.get_running_loop().call_later(left_us / 1e6, self._reject_cut_off)
+
+    def _end_wait(self) -> None:
+        """Write the response that waited for the following request, if there is one."""
+        self._cancel_timer()
+        response, self.response = self.response, None
+        if response is not None:
+            self.handle_response(response)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _current_deadline_us(self) -> int:
+        if self.request is None:
+            return self.answer_by_us
+        return self.request.arrived_us + self.platform_listener.limited_deadline_us(self.request)
+
+    def _reject_cut_off(self) -> None:
+        """Reject the current request: what stands behind it has not become a further one."""
+        self._count_cut_off()
+        self._reject(400, MALFORMED.encode() + b"\n")
+
+    def _count_cut_off(self) -> None:
+        self.platform_listener.dispatcher.problems.count("requests_longer_than_told")
+
+    def _reject(self, status: int, body: bytes) -> None:
+        """Answer the current request with an error, and close the connection."""
+        was_open = self.state is ConnectionState.OPEN
+        self._write(status, body, last=True)
+        if was_open:
+            self.platform_listener.dispatcher.disconnected(self.request_id)
+
+    def _submit(self, request: ProxyRequest) -> None:
+        """Pass a request to the dispatcher; raises InvalidRequestError."""
         assert self.transport is not None
-        assert self.parser is not None
-        method = self.parser.get_method()
-        if self.parser.get_http_version() not in SUPPORTED_VERSIONS:
-            raise InvalidRequestError(400, "not HTTP/1.1")
-        if self.target == READINESS_TARGET and method == b"GET":
-            self._write(200 if self.platform_listener.is_ready else 503, b"")
-            return
-        request = self.platform_listener.catalog.make_request(
-            method, self.target, self.headers.all(), bytes(self.body)
-        )
-        self._free_message()
+        self.request = None
         request.client_disconnected = self.is_disconnected
         if not self.platform_listener.recent_ids.add(request.external_id):
             # an endpoint that has already seen it rejects it, and its response might go to the wrong client
@@ -226,6 +243,7 @@
             raise InvalidRequestError(400, "the last answer was not read")
         self.platform_listener.set_state(self, ConnectionState.OPEN)
         request.deadline_us = self.platform_listener.limited_deadline_us(request)
+        self.answer_by_us = request.arrived_us + request.deadline_us
         self.request_id = self.platform_listener.dispatcher.submit(
             request, self.handle_response, self.platform_listener.pools
         )
@@ -236,7 +254,10 @@
         """Write the final response to the open request, if its client is still waiting for it."""
         if self.state is not ConnectionState.OPEN:
             return
-        if response.kind is ResponseKind.SERVED:
+        if response.kind is ResponseKind.SERVED and self._awaits_following():
+            self.response = response
+            self._limit_wait()
+        elif response.kind is ResponseKind.SERVED:
             assert response.result is not None
             types = [value for name, value in response.result.headers if name.lower() == b"content-type"]
             head = b"Content-Type: %s\r\n" % types[-1] if types else b""
@@ -252,6 +273,9 @@
 
     def reject_for_memory(self) -> None:
         """Reject an incomplete request, as too much is held of all of them, and close the connection."""
+        if self.state is ConnectionState.OPEN:
+            self._reject_cut_off()  # it may have run, so no retry is invited
+            return
         retry_after_us = self.platform_listener.memory_retry_after_us
         self._write(503, b"", _retry_after_header(retry_after_us), last=True)
 
@@ -266,11 +290,12 @@
             head += b"Connection: close\r\n"
         data = b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n" % (status, REASONS[status], head, len(body))
         data += body
-        if self.pipelined and not last:
+        is_followed = self.following is not None
+        if is_followed and not last:
             data += PIPELINED_RESPONSE
         self.transport.write(data)
-        if last or self.pipelined:
-            self._free_message()
+        if last or is_followed:
+            self._free_all()
             self.linger()
         else:
             self._reset()
@@ -315,7 +340,7 @@
 
     def limit_incomplete(self, client: PlatformConnection) -> None:
         """Record an incomplete request; reject those that have stalled for longest over the limit."""
-        self.incomplete.record(client, client.received_bytes)
+        self.incomplete.record(client, client.incomplete_bytes())
         while (stalled := self.incomplete.pop_excess()) is not None:
             self.dispatcher.problems.report("request_rejected_for_memory", self._incomplete_fields)
             stalled.reject_for_memory()
--- a/plovertrail/upstreams/response_reader.py
+++ b/plovertrail/upstreams/response_reader.py
@@ -7,11 +7,10 @@
 import httptools
 
 from plovertrail.decisions.events import Outcome
+from plovertrail.http1.empty_line import EmptyLineFinder
 from plovertrail.http1.header_block import IncomingHeaders
 
 MAX_HEAD_BYTES = 32 * 1024
-EMPTY_LINE = b"\r\n\r\n"  # ends heads and chunked bodies
-LAST_BYTES = len(EMPTY_LINE) - 1
 JSON_TYPE = b"application/json"
 BODYLESS_STATUSES = (204, 304)  # RFC 9112, section 6.3
 FRAMING_FACTOR = 4  # limit of a whole response, with head and framing, as a multiple of max_body_bytes
@@ -68,7 +67,7 @@
         self.head_done = False
         self.body = bytearray()
         self.received = 0
-        self._last_bytes = b""  # before those that are being parsed
+        self._empty_lines = EmptyLineFinder()
 
     def feed(self, data: bytes) -> None:
         """Parse bytes up to the end of the response; raises httptools' errors and ResponseTooLongError."""
@@ -87,24 +86,15 @@
             self.behind = data[begin:]
             self.reusable = self.reusable and not self.behind
             return
-        self._last_bytes = (self._last_bytes + data[-LAST_BYTES:])[-LAST_BYTES:]
+        self._empty_lines.end_read(data)
         self._headers.pause()
 
     def _next_stop(self, data: bytes, begin: int) -> int:
-        """Return the first position behind `begin` at which the response may be complete.
-
-        The parser does not tell how many bytes it has used, so it is fed no more than one response has.
-        """
+        """Return the first position behind `begin` at which the response may be complete."""
         if self.head_done and not self.chunked:
             missing = len(data) if self.body_bytes is None else self.body_bytes - len(self.body)
             return min(len(data), begin + max(missing, 1))
-        if begin == 0 and self._last_bytes:
-            # the empty line may have begun with the bytes before
-            at = (self._last_bytes + data[:LAST_BYTES]).find(EMPTY_LINE)
-            if at >= 0:
-                return at + len(EMPTY_LINE) - len(self._last_bytes)
-        at = data.find(EMPTY_LINE, begin)
-        return len(data) if at < 0 else at + len(EMPTY_LINE)
+        return self._empty_lines.next_stop(data, begin)
 
     @property
     def framed(self) -> bool:
--- a/tests/listeners/test_connections.py
+++ b/tests/listeners/test_connections.py
@@ -18,6 +18,7 @@
 from plovertrail.listeners import connection_state, platform_listener
 from plovertrail.listeners.client_connection import ClientConnection
 from plovertrail.listeners.connection_state import ConnectionState
+from plovertrail.listeners.platform_request_reader import MAX_BODY_BYTES
 from plovertrail.upstreams.connection_pool import ConnectionPool
 from tests.daemons import Held, message, run, running
 from tests.net import (
@@ -167,7 +168,7 @@
             reader, writer = await it.connect()
             writer.write(request("pay"))
             await until(lambda: len(upstream.requests) == 1)
-            writer.write(request("pay", body=b"y" * platform_listener.MAX_BODY_BYTES))
+            writer.write(request("pay", body=b"y" * MAX_BODY_BYTES))
             await writer.drain()
             release.set()
             head, body = await read_message(reader)
--- a/tests/sidecar/test_bad_input.py
+++ b/tests/sidecar/test_bad_input.py
@@ -9,7 +9,7 @@
 
 from plovertrail.decisions.settings import RequestClass
 from plovertrail.listeners import connection_state
-from plovertrail.listeners.platform_listener import MAX_HEAD_BYTES
+from plovertrail.listeners.platform_request_reader import MAX_HEAD_BYTES
 from plovertrail.listeners.platform_requests import RecentRequestIds
 from tests.net import (
     OK,
@@ -168,11 +168,75 @@
     run(test)
 
 
-@pytest.mark.parametrize(
-    "rest", [b"\r\n", b"P", request("pay")[:9], request("read"), request("read") + b"noise", b"\r\nGET / H"]
-)
+ANOTHER = request("read", ident="another")
+# a body that goes on like these behind its length must not be taken for a request and a further one
+NO_WHOLE_REQUESTS = [
+    b"\r\n",
+    b"\r\n\r\n",
+    b"P",
+    b"GET",
+    b"DELETE ",
+    b"\r\nGET / H",
+    ANOTHER[:9],
+    ANOTHER[:-1],
+    request("pay", ident="another", body=b"ab")[:-1],
+    b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",  # none that the listener accepts
+]
+SHORT_DEADLINE_MS = 100
+
+
+# Guards against a request that is forwarded cut off at a length that is too small, as the rest of its body
+# begins like a further request.
+@pytest.mark.parametrize("rest", NO_WHOLE_REQUESTS)
+@pytest.mark.parametrize("extra", ["", "Connection: close\r\n"])
+@pytest.mark.parametrize("cut", [0, 1, 6])
+def test_a_request_is_not_forwarded_if_what_follows_it_in_a_read_is_no_whole_request(
+    rest: bytes, extra: str, cut: int
+) -> None:
+    async def test() -> None:
+        upstream = Upstream(answering(OK))
+        async with sidecar(upstream) as it:
+            reader, writer = await it.connect()
+            data = request("pay", body=b"ab", extra=extra, deadline_ms=SHORT_DEADLINE_MS) + rest
+            begin = data.index(b"\r\n\r\n") + cut - 2 if cut else 0  # within or behind the empty line
+            writer.write(data[:begin])
+            await asyncio.sleep(0.005 if begin else 0)
+            writer.write(data[begin:])
+            answer = await reader.read()
+            assert [part[:3] for part in answer.split(b"HTTP/1.1 ")[1:]] == [b"400"]
+            writer.close()
+            assert upstream.requests == []
+            assert status(await it.ask(request())) == 200
+
+    run(test)
+
+
+# Guards against a request that was cut off and is served, as the rest of its body came later and begins
+# like a further request.
+@pytest.mark.parametrize("rest", NO_WHOLE_REQUESTS)
 @pytest.mark.parametrize("extra", ["", "Connection: close\r\n"])
-def test_a_request_is_served_if_what_follows_it_may_be_another(rest: bytes, extra: str) -> None:
+def test_a_request_is_not_served_if_what_follows_it_is_no_whole_request(rest: bytes, extra: str) -> None:
+    async def test() -> None:
+        held = asyncio.Event()
+        upstream = Upstream(released_by(held))
+        async with sidecar(upstream) as it:
+            reader, writer = await it.connect()
+            writer.write(request("pay", body=b"ab", extra=extra, deadline_ms=3 * SHORT_DEADLINE_MS))
+            await until(lambda: len(upstream.requests) == 1)
+            writer.write(rest)
+            await asyncio.sleep(0.02)
+            held.set()
+            answer = await reader.read()
+            assert [part[:3] for part in answer.split(b"HTTP/1.1 ")[1:]] == [b"400"]
+            writer.close()
+
+    run(test)
+
+
+# Guards against a fix of the above that turns clients away which send a further request too soon.
+@pytest.mark.parametrize("rest", [ANOTHER, ANOTHER + b"noise", b"\r\n" + ANOTHER, request("pay", body=b"ab")])
+@pytest.mark.parametrize("extra", ["", "Connection: close\r\n"])
+def test_a_request_is_served_if_what_follows_it_is_another(rest: bytes, extra: str) -> None:
     async def test() -> None:
         held = asyncio.Event()
         upstream = Upstream(released_by(held))
@@ -189,6 +253,31 @@
     run(test)
 
 
+@pytest.mark.parametrize("is_forwarded", [False, True])
+def test_a_request_is_served_once_what_follows_it_is_another(is_forwarded: bool) -> None:
+    async def test() -> None:
+        held = asyncio.Event()
+        upstream = Upstream(released_by(held))
+        async with sidecar(upstream) as it:
+            reader, writer = await it.connect()
+            first = request("pay", body=b"ab")
+            writer.write(first if is_forwarded else first + ANOTHER[:5])
+            if is_forwarded:
+                await until(lambda: len(upstream.requests) == 1)
+                writer.write(ANOTHER[:5])
+            await asyncio.sleep(0.05)
+            held.set()
+            await asyncio.sleep(0.05)
+            assert len(upstream.requests) == int(is_forwarded)
+            writer.write(ANOTHER[5:])
+            answers = await reader.read()
+            assert [part[:3] for part in answers.split(b"HTTP/1.1 ")[1:]] == [b"200", b"400"]
+            assert [body for _head, body in upstream.requests] == [b"ab"]
+            writer.close()
+
+    run(test)
+
+
 def test_the_id_of_another_open_request_does_not_go_out_again() -> None:
     async def test() -> None:
         held = asyncio.Event()
