A response is served only if nothing but copies of it stands behind it

Cause: is_remainder_of_body told the rest of a body from noise and from second messages by what they look like. A body may look like any of these; here its end looks like that of a head.

Change: what stands behind a response is parsed by itself. Whole copies of it, with its status and body, confirm its length; a part of one is awaited; all else ends the attempt as one that may have run. No byte is judged by its look any more.

Cost: good answers with noise behind them are not served.

--- a/plovertrail/upstreams/connection.py
+++ b/plovertrail/upstreams/connection.py
@@ -12,12 +12,12 @@
 from plovertrail.clock import clock_us
 from plovertrail.decisions.events import Outcome
 from plovertrail.decisions.response_attribution import ResponseTiming
-from plovertrail.decisions.response_excess import is_remainder_of_body
 from plovertrail.dispatch.types import ConnectionUse, TransportResult, Tunnel, WebSocketHandshake
 from plovertrail.upstreams.attempt import Attempt
 from plovertrail.upstreams.connection_owner import ConnectionOwner
 from plovertrail.upstreams.deferred_response import Decision, DeferredResponse, TimedResponse
 from plovertrail.upstreams.remainder_wait import RemainderWait
+from plovertrail.upstreams.response_copies import BytesBehind, classify_bytes_behind
 from plovertrail.upstreams.response_reader import ResponseReader
 from plovertrail.upstreams.stray_messages import MAX_LOGGED_BYTES, ConnectionHistory
 
@@ -220,7 +220,7 @@
     # The end of an attempt
 
     def _finish_complete(self, reader: ResponseReader, stream_ended: bool = False) -> None:
-        """End the attempt with a complete response, or wait for more of it if its body looks cut off."""
+        """End the attempt with a complete response, or wait if more of it may follow."""
         if self.unsent and not self.pool.rules.may_precede_request:
             self._finish_unsent(reader)
             return
@@ -238,9 +238,7 @@
         """End the attempt with a response unless more of its body follows, or defer it."""
         reader = response.reader
         if reader.behind:
-            if not reader.bodyless and is_remainder_of_body(
-                bytes(reader.body), reader.behind, reader.chunked
-            ):
+            if not reader.bodyless and classify_bytes_behind(reader) is not BytesBehind.COPIES:
                 self.pool.strays.remainder_of_body(self.history, reader, self._request_name())
                 self._drop_response(reader, "response_longer_than_told", Outcome.MALFORMED)
                 return
--- a/plovertrail/upstreams/deferred_response.py
+++ b/plovertrail/upstreams/deferred_response.py
@@ -27,10 +27,6 @@
     reader: ResponseReader
     timing: ResponseTiming
 
-    def says_the_same(self, other: TimedResponse) -> bool:
-        """Whether two responses are alike."""
-        return (self.reader.status, self.reader.body) == (other.reader.status, other.reader.body)
-
 
 class DeferredResponse:
     """Holds back the response to one request at a time; calls `on_expiry` when no other has followed."""
@@ -98,7 +94,7 @@
 
     def _evaluate_pair(self, first: TimedResponse, second: TimedResponse) -> Decision:
         """Evaluate the second of two messages that came for one request."""
-        same = first.says_the_same(second)
+        same = first.reader.says_the_same(second.reader)
         accepted = self.attribution.accepts_replacement(first.timing, second.timing, same)
         self.attribution.record_pair(first.timing, second.timing, same, clock_us())
         if not accepted:
--- a/plovertrail/upstreams/remainder_wait.py
+++ b/plovertrail/upstreams/remainder_wait.py
@@ -1,4 +1,4 @@
-"""The wait for more of a response whose body looks cut off."""
+"""The wait for more of a response: its body looks cut off, or what stands behind it is part of a copy."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 from plovertrail.decisions.response_excess import looks_cut_off, remainder_wait_us
 from plovertrail.problem_log import ProblemLog
 from plovertrail.upstreams.deferred_response import TimedResponse
+from plovertrail.upstreams.response_copies import BytesBehind, classify_bytes_behind
 
 ResponseCallback = Callable[[TimedResponse, bool], None]  # the response, and whether the stream has ended
 
@@ -29,22 +30,26 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def begin(self, response: TimedResponse) -> bool:
-        """Hold a response back if its body looks cut off; returns whether it is held back."""
-        if not self._may_lack_its_end(response) or self._is_deferred(response):
+        """Hold a response back if more of it may follow; returns whether it is held back."""
+        if not self._may_have_more(response):
             return False
-        self._problems.count("responses_looking_cut_off")
         wait_us = remainder_wait_us(response.timing.elapsed_us, response.timing.timeout_us)
         self._response = response
         self._timer = asyncio.get_running_loop().call_later(wait_us / 1e6, self.end)
         return True
 
     def end(self, data: bytes = b"", stream_ended: bool = False) -> bool:
-        """End the wait, with the bytes that have followed; returns whether a response was held back."""
+        """End the wait, with the bytes that have followed; returns whether a response was held back.
+
+        It goes on while these bytes are part of a copy.
+        """
         response = self._response
-        self.release()
         if response is None:
             return False
-        response.reader.behind = data
+        response.reader.behind += data
+        if data and self._is_behind_part_of_copy(response):
+            return True
+        self.release()
         self._on_end(response, stream_ended)
         return True
 
@@ -55,13 +60,25 @@
             self._timer.cancel()
             self._timer = None
 
-    @staticmethod
-    def _may_lack_its_end(response: TimedResponse) -> bool:
-        """Whether a response would be given to the client, and its body looks cut off."""
+    def _may_have_more(self, response: TimedResponse) -> bool:
+        """Whether a response would be given to the client, and more of it may follow."""
         reader = response.reader
-        if reader.behind or reader.bodyless or not response.timing.served:
+        if reader.bodyless:
+            return False
+        if reader.behind:
+            return self._is_behind_part_of_copy(response)
+        if not response.timing.served or self._is_deferred(response):
             return False
-        return looks_cut_off(reader.body, is_json=not reader.body and reader.is_json)
+        if not looks_cut_off(reader.body, is_json=not reader.body and reader.is_json):
+            return False
+        self._problems.count("responses_looking_cut_off")
+        return True
+
+    @staticmethod
+    def _is_behind_part_of_copy(response: TimedResponse) -> bool:
+        reader = response.reader
+        is_too_long = len(reader.behind) > reader.received
+        return not is_too_long and classify_bytes_behind(reader) is BytesBehind.PART_OF_COPY
 
     def _is_deferred(self, response: TimedResponse) -> bool:
         """Whether a response is deferred anyway, so that a remainder is found as a second message."""
--- a/plovertrail/upstreams/response_reader.py
+++ b/plovertrail/upstreams/response_reader.py
@@ -130,6 +130,10 @@
         self.complete = True
         return True
 
+    def says_the_same(self, other: ResponseReader) -> bool:
+        """Whether two responses are alike."""
+        return (self.status, self.body) == (other.status, other.body)
+
     def release(self) -> None:
         """Drop the parser: the reference cycle with it would last until a rare full garbage collection."""
         self.parser = None
