A change in discovery's list costs a change, and a drain waits for no other news

Drains waited behind all lines before them.

Change: EndpointDirectory applies a change at the cost of the change. Short lines are applied as they are read; those behind a long one that is being read keep their order, but what they drain or remove gets no new requests at once. Directory has a module of its own, as discovery.py had grown.

--- a/benchmarks/long_lists.py
+++ b/benchmarks/long_lists.py
@@ -19,7 +19,8 @@
 from plovertrail.decisions.events import EndpointsUpdated
 from plovertrail.decisions.settings import RequestClass, Settings
 from plovertrail.dispatch.dispatcher import Dispatcher
-from plovertrail.sources.discovery import FREEZE_DELAY_S, Directory, Discovery
+from plovertrail.sources.directory import Directory
+from plovertrail.sources.discovery import FREEZE_DELAY_S, Discovery
 from plovertrail.upstreams.connection_pool import ConnectionPool
 
 SERVERS = 10_000
--- a/fakes/fleet/instances.py
+++ b/fakes/fleet/instances.py
@@ -19,7 +19,8 @@
 from plovertrail.decisions.settings import RequestClass, Settings
 from plovertrail.dispatch.dispatcher import Dispatcher
 from plovertrail.dispatch.types import ProxyRequest, ProxyResponse, ResponseKind
-from plovertrail.sources.discovery import Directory, Discovery
+from plovertrail.sources.directory import Directory
+from plovertrail.sources.discovery import Discovery
 from plovertrail.upstreams.connection_pool import ConnectionPool
 
 AIM_US, DEADLINE_US = 400_000, 1_200_000
--- a/plovertrail/__main__.py
+++ b/plovertrail/__main__.py
@@ -18,7 +18,8 @@
 from plovertrail.listeners.platform_listener import PlatformListener
 from plovertrail.logs import log_to_stderr
 from plovertrail.problem_log import ProblemLog, counters_line
-from plovertrail.sources.discovery import Directory, Discovery
+from plovertrail.sources.directory import Directory
+from plovertrail.sources.discovery import Discovery
 from plovertrail.startup import RETRY_INTERVAL_S, StartRetries
 from plovertrail.upstreams.connection_pool import ConnectionPool
 
--- a/plovertrail/sources/discovery.py
+++ b/plovertrail/sources/discovery.py
@@ -5,31 +5,18 @@
 import asyncio
 import contextlib
 import gc
-import ipaddress
-import json
 import logging
-import math
 import time
-from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import httptools
 
-from plovertrail.clock import clock_us
-from plovertrail.config.platform import parse_address
-from plovertrail.decisions.endpoint_list import (
-    UNGUARDED,
-    ChangeKind,
-    EndpointChange,
-    EndpointList,
-    EndpointListState,
-    ListedEndpoint,
-    apply_list,
-)
 from plovertrail.decisions.events import Endpoint, EndpointStatus, EndpointsUpdated, ListKind
 from plovertrail.decisions.load_balancing.poll_schedule import POLL_TIMEOUT_US, WATCH_TIMEOUT_US
-from plovertrail.sources.start_times import StartTimes
+from plovertrail.sources.directory import MAX_INLINE_LINE_BYTES, Address, Directory, OlderChangeError
+from plovertrail.sources.unread_lines import UnreadLine, UnreadLines
 
 log = logging.getLogger(__name__)
 
@@ -39,142 +26,17 @@
 # process as soon as the agent has it.
 REOPEN_DELAY_S = 0.1
 MAX_LINE_BYTES = 4 * 1024 * 1024  # about 25,000 endpoints
-# A longer line, or a change among more endpoints, would block the event loop for too long. It is decoded on a
-# thread, which releases Python's lock every few milliseconds.
-MAX_INLINE_LINE_BYTES = 64 * 1024
-MAX_INLINE_SERVERS = 500
 # With a long list the garbage collector would scan the objects of all endpoints and stop all threads for
 # 50 ms. Most objects that exist before and after the first long list live on, so they are frozen: once before
 # it is read, and again after this delay.
 FREEZE_DELAY_S = 1.0
-# With so many lines or bytes waiting for the thread, no more is read from the connection.
-MAX_UNREAD_LINES = 64
+# With so many lines or bytes waiting for their turn, no more is read from the connection. Many lines may
+# wait, as what they drain is told before.
+MAX_UNREAD_LINES = 4096
 MAX_UNREAD_BYTES = 2 * MAX_LINE_BYTES
-STATES = {"active": EndpointStatus.READY, "leaving": EndpointStatus.DRAINING, "left": EndpointStatus.REMOVED}
-Address = tuple[str, int]
 OnUpdate = Callable[[EndpointsUpdated, dict[int, Address]], None]
 
 
-class OlderChangeError(ValueError):
-    """A change is older than the known version.
-
-    Discovery was rolled back, or a replica that lags behind has answered.
-    """
-
-
-def parse_ipv4_address(text: str) -> Address:
-    """Parse an IPv4 address and a port; raises ValueError.
-
-    Host names are rejected because they would need a lookup. With a port out of range each attempt would run
-    into its time-out.
-    """
-    host, port = parse_address(text)
-    if port > 65_535:
-        raise ValueError(f"port out of range: {text!r}")
-    return str(ipaddress.IPv4Address(host)), port
-
-
-def decode_line(line: bytes) -> Any:
-    """Decode one line of JSON.
-
-    json.loads holds Python's lock for a whole call and would block all threads on a long line. With an
-    `object_hook` it runs Python code for each entry, where other threads can take over.
-    """
-    return (
-        json.loads(line)
-        if len(line) <= MAX_INLINE_LINE_BYTES
-        else json.loads(line, object_hook=lambda entry: entry)
-    )
-
-
-class Directory:
-    """Converts discovery's lists to events for the load balancer, by the same reducer as all other sources.
-
-    No guard delays a list: the platform's drains count from the moment it announces them.
-    """
-
-    def __init__(self, zones: list[str], kinds: list[str]) -> None:
-        self.zones = zones
-        self.kinds = kinds
-        self.state = EndpointListState()
-        self.starts = StartTimes()
-
-    @property
-    def endpoint_count(self) -> int:
-        """The number of current endpoints, draining ones included."""
-        return len(self.state.members)
-
-    def read_line(self, line: bytes, known_version: int = 0) -> tuple[EndpointsUpdated, dict[int, Address]]:
-        """Return the event for one line of a watch, and the addresses of its endpoints.
-
-        `known_version` is the version that a change has to follow.
-        """
-        return self.read(decode_line(line), known_version=known_version)
-
-    def read(
-        self, listing: Any, kind: ListKind | None = None, known_version: int = 0
-    ) -> tuple[EndpointsUpdated, dict[int, Address]]:
-        """Return the event for one list, and the addresses of its endpoints.
-
-        Raises an exception if the list is malformed, and then applies none of it. A change that is older than
-        the known version is rejected, since it could send requests to a draining endpoint again. A full
-        list is accepted whatever its version.
-        """
-        rev = int(listing["rev"])
-        if kind is None:
-            kind = ListKind.FULL if listing["all"] else ListKind.DELTA
-        if kind is ListKind.DELTA and rev < known_version:
-            raise OlderChangeError(f"a change of version {rev} after version {known_version}")
-        self.starts.refresh()
-        listed: dict[str, ListedEndpoint] = {}
-        if kind is ListKind.DELTA:
-            listed = {entry.id: entry for layer in self.state.layers for entry in layer.endpoints}
-        for item in listing["targets"]:
-            entry = self.listed_endpoint(item)
-            listed.pop(entry.id, None)
-            if STATES[item["state"]] is not EndpointStatus.REMOVED:
-                listed[entry.id] = entry
-        candidate = EndpointList("discovery", tuple(listed.values()))
-        self.state, changes, report = apply_list(self.state, candidate, clock_us(), UNGUARDED)
-        if report.problems:
-            raise ValueError(report.problems[0])
-        self.starts.forget_unlisted(self.state.members)
-        if kind is not ListKind.DELTA:
-            changes = tuple(EndpointChange(ChangeKind.JOIN, member) for member in self.state.members.values())
-        entries = [self.updated_endpoint(change) for change in changes]
-        addresses = {change.member.endpoint_id: change.member.listed.address for change in changes}
-        return EndpointsUpdated(kind, entries, rev), addresses
-
-    def listed_endpoint(self, item: Any) -> ListedEndpoint:
-        """Convert one of discovery's entries."""
-        weight = float(item["capacity_hint"])
-        drains = STATES[item["state"]] is EndpointStatus.DRAINING
-        return ListedEndpoint(
-            str(item["uid"]),
-            parse_ipv4_address(item["endpoint"]),
-            item["az"],
-            str(int(item["pod_group"])),
-            weight if 0 < weight < math.inf else 1.0,
-            drains,
-            item["model"],
-            self.starts.started_us(str(item["uid"]), int(item["boot_ms"])),
-        )
-
-    def updated_endpoint(self, change: EndpointChange) -> Endpoint:
-        """Describe a changed endpoint for the load balancer."""
-        member, entry = change.member, change.member.listed
-        state = EndpointStatus.DRAINING if entry.drain else EndpointStatus.READY
-        return Endpoint(
-            id=member.endpoint_id,
-            state=EndpointStatus.REMOVED if change.kind is ChangeKind.LEAVE else state,
-            zone=self.zones.index(entry.zone) if entry.zone in self.zones else len(self.zones),
-            kind=self.kinds.index(entry.model) if entry.model in self.kinds else len(self.kinds),
-            cell=int(entry.cell),
-            weight=entry.weight,
-            started_us=member.started_us,
-        )
-
-
 class Watch(asyncio.Protocol):
     """One streaming request for changes. It lasts until the connection ends, which counts as a failure."""
 
@@ -285,9 +147,8 @@
         self.connect_task: asyncio.Task[None] | None = None
         self.last_activity_s = 0.0
         self.timer: asyncio.TimerHandle | None = None
-        self.unread: deque[tuple[Watch, bytes]] = deque()
+        self.unread: UnreadLines[Watch] = UnreadLines(MAX_UNREAD_LINES, MAX_UNREAD_BYTES)
         self.reader_task: asyncio.Task[None] | None = None  # handles the unread lines
-        self.unread_bytes = 0
         self.frozen = False  # gc.freeze() was called for the first long list
 
     def load_cached(self, listing: Any) -> None:
@@ -385,23 +246,25 @@
             watch.fail()
 
     def line_received(self, watch: Watch, line: bytes) -> None:
-        """Apply a list or a change: a short one now, raising if it is malformed, a long one on a thread."""
-        if (
-            self.reader_task is None
-            and len(line) <= MAX_INLINE_LINE_BYTES
-            and self.directory.endpoint_count <= MAX_INLINE_SERVERS
-        ):
+        """Apply a list or a change: a short one now, raising if it is malformed, a long one on a thread.
+
+        A short one that comes while a long one is being applied has its turn behind it. Endpoints that it
+        drains or removes get no new requests from now on, whatever comes before its turn.
+        """
+        is_short = len(line) <= MAX_INLINE_LINE_BYTES
+        if self.reader_task is None and is_short:
             try:
                 self.apply_update(watch, *self.directory.read_line(line, self.known_version_for(watch)))
             except OlderChangeError:
                 self.reset_after_rollback(watch)
                 raise
             return
-        self.unread.append((watch, line))
-        self.unread_bytes += len(line)
-        if watch.transport is not None and (
-            len(self.unread) >= MAX_UNREAD_LINES or self.unread_bytes >= MAX_UNREAD_BYTES
-        ):
+        removals = self.directory.read_removals(line, self.known_version_for(watch)) if is_short else ()
+        self.unread.append(UnreadLine(watch, line, removals))
+        if removals:
+            endpoints, addresses = self.directory.draining(removals)
+            self.on_update(EndpointsUpdated(ListKind.DELTA, endpoints, self.version), addresses)
+        if watch.transport is not None and self.unread.is_full:
             watch.transport.pause_reading()
         if not self.frozen:
             self.frozen = True
@@ -412,26 +275,33 @@
 
     async def read_unread(self) -> None:
         """Apply the unread lines in order; those of a watch that has ended count too."""
-        while self.unread:
-            watch, line = self.unread.popleft()
-            self.unread_bytes -= len(line)
+        while (unread := self.unread.first()) is not None:
+            watch = unread.watch
             try:
-                read = await asyncio.to_thread(self.directory.read_line, line, self.known_version_for(watch))
+                read = await self._read_unread_line(unread)
+                self.unread.discard(unread)  # not before: meanwhile, its removals hold
                 self.apply_update(watch, *read)
             except Exception as error:
                 log.warning("malformed data from discovery, ending the watch: %r", error)
+                self.unread.discard(unread)
                 if isinstance(error, OlderChangeError):
                     self.reset_after_rollback(watch)
                 watch.fail()
             self.note_activity()  # while reading was paused no data could come
-            if (
-                watch.transport is not None
-                and len(self.unread) < MAX_UNREAD_LINES // 2
-                and self.unread_bytes < MAX_UNREAD_BYTES // 2
-            ):
+            if watch.transport is not None and self.unread.is_half_empty:
                 watch.transport.resume_reading()
         self.reader_task = None
 
+    async def _read_unread_line(
+        self, unread: UnreadLine[Watch]
+    ) -> tuple[EndpointsUpdated, dict[int, Address]]:
+        """Read a line: a long one on a thread, a short one here, one in a turn of the event loop."""
+        known_version = self.known_version_for(unread.watch)
+        if len(unread.line) > MAX_INLINE_LINE_BYTES:
+            return await asyncio.to_thread(self.directory.read_line, unread.line, known_version)
+        await asyncio.sleep(0)
+        return self.directory.read_line(unread.line, known_version)
+
     def known_version_for(self, watch: Watch) -> int:
         """Return the version that a watch's changes have to follow; 0 for a watch of a former address."""
         return self.version if watch.address == self.address else 0
@@ -443,15 +313,25 @@
         """
         if watch.address == self.address:
             self.version = 0
-        self.unread = deque(each for each in self.unread if each[0] is not watch)
-        self.unread_bytes = sum(len(line) for _, line in self.unread)
+        self.unread.drop(watch)
 
     def apply_update(self, watch: Watch, event: EndpointsUpdated, addresses: dict[int, Address]) -> None:
-        """Report an event, and remember its version if the watch is of the current address."""
+        """Report an event, and remember its version if the watch is of the current address.
+
+        Endpoints that an unread line drains or removes stay drained.
+        """
         if watch.address == self.address:  # versions are valid at one address only
             self.version = event.version
+        if self.unread.has_removals:
+            event = replace(event, endpoints=[self._drained_if_unread(entry) for entry in event.endpoints])
         self.on_update(event, addresses)
 
+    def _drained_if_unread(self, entry: Endpoint) -> Endpoint:
+        name = self.directory.endpoints.name_of(entry.id)
+        if entry.state is not EndpointStatus.READY or name is None or not self.unread.removes(name):
+            return entry
+        return replace(entry, state=EndpointStatus.DRAINING)
+
     def watch_ended(self, watch: Watch) -> None:
         """Report that the current watch has failed; if it is held open, reopen it after REOPEN_DELAY_S."""
         if watch is self.watch:
--- a/plovertrail/sources/start_times.py
+++ b/plovertrail/sources/start_times.py
@@ -50,6 +50,10 @@
         self._known[endpoint] = (boot_ms, started_us)
         return started_us
 
+    def forget(self, endpoint: str) -> None:
+        """Forget an endpoint that is no longer listed."""
+        self._known.pop(endpoint, None)
+
     def forget_unlisted(self, listed: Container[str]) -> None:
         """Forget the endpoints that are no longer listed."""
         self._known = {name: times for name, times in self._known.items() if name in listed}
--- a/tests/sidecar/test_endpoint_list.py
+++ b/tests/sidecar/test_endpoint_list.py
@@ -9,6 +9,7 @@
 
 from plovertrail.decisions.events import EndpointsUpdated, ListKind
 from plovertrail.sources import discovery as discovery_module
+from plovertrail.sources.directory import Directory
 from tests.net import (
     OK,
     PATIENCE_S,
@@ -198,7 +199,7 @@
         first, second = Discovery(), Discovery()
         for each in (first, second):
             await each.start()
-        directory = discovery_module.Directory(["a"], ["m"])
+        directory = Directory(["a"], ["m"])
         source = discovery_module.Discovery(
             ("127.0.0.1", first.port), directory, lambda event, _addresses: told.append(event)
         )
@@ -262,7 +263,7 @@
     async def test() -> None:
         server = Discovery()
         await server.start()
-        directory = discovery_module.Directory(["a"], ["m"])
+        directory = Directory(["a"], ["m"])
         watch = discovery_module.Discovery(
             ("127.0.0.1", server.port), directory, lambda event, _addresses: told.append(event)
         )
--- a/tests/sidecar/test_reconfiguration.py
+++ b/tests/sidecar/test_reconfiguration.py
@@ -10,6 +10,7 @@
 
 from plovertrail.decisions.events import EndpointsUpdated
 from plovertrail.sources import discovery as discovery_module
+from plovertrail.sources.directory import Directory
 from tests.net import (
     OK,
     PATIENCE_S,
@@ -76,17 +77,17 @@
     What is open is answered and the process ends; or the new address's list comes last, and holds.
     """
     reading, release = threading.Event(), threading.Event()
-    read_line = discovery_module.Directory.read_line
+    read_line = Directory.read_line
 
     def held(
-        self: discovery_module.Directory, line: bytes, known: int = 0
+        self: Directory, line: bytes, known: int = 0
     ) -> tuple[EndpointsUpdated, dict[int, tuple[str, int]]]:
         if b'"old"' in line:
             reading.set()
             assert release.wait(PATIENCE_S)
         return read_line(self, line, known)
 
-    monkeypatch.setattr(discovery_module.Directory, "read_line", held)
+    monkeypatch.setattr(Directory, "read_line", held)
     monkeypatch.setattr(discovery_module, "MAX_INLINE_LINE_BYTES", 1)  # each line is read on a thread
 
     async def test() -> None:
--- a/tests/sources/test_discovery.py
+++ b/tests/sources/test_discovery.py
@@ -10,7 +10,7 @@
 
 from plovertrail.clock import clock_us
 from plovertrail.decisions.events import EndpointStatus, ListKind
-from plovertrail.sources.discovery import Directory, OlderChangeError
+from plovertrail.sources.directory import Directory, OlderChangeError
 from tests.net import entry, listing
 
 
@@ -77,14 +77,14 @@
 def test_a_malformed_list_changes_nothing(malformed: dict[str, Any]) -> None:
     directory = Directory(["a"], ["m"])
     directory.read(listing(entry("x", 1)))
-    before = directory.state
+    before = directory.endpoints.members()
     if malformed == {"uid": None}:
         update = {"rev": 1, "all": False, "targets": [{"state": "active"}]}
     else:
         update = listing(entry("new", 2), entry("y", 3) | malformed, full=False)
     with pytest.raises((KeyError, ValueError)):
         directory.read(update)
-    assert directory.state is before
+    assert directory.endpoints.members() == before
 
 
 def test_following_changes_gives_the_same_endpoints_as_full_lists() -> None:
@@ -126,13 +126,13 @@
                 full=False,
             )
         )
-        before = directory.state
+        before = directory.endpoints.members()
         with pytest.raises(OlderChangeError, match="version 4 after version 9"):
             directory.read(listing(entry("a", 1), entry("b", 2), rev=4, full=False), known_version=9)
-        assert directory.state is before
-        ready = {name for name, member in directory.state.members.items() if not member.listed.drain}
+        assert directory.endpoints.members() == before
+        ready = {member.listed.id for member in directory.endpoints.members() if not member.listed.drain}
         assert ready == set("def")
         # a full list is accepted whatever its version
         event, _ = directory.read(listing(entry("a", 1), rev=4), known_version=9)
         assert event.kind is ListKind.FULL
-        assert set(directory.state.members) == {"a"}
+        assert set(directory.endpoints) == {"a"}
--- a/tests/sources/test_long_lists.py
+++ b/tests/sources/test_long_lists.py
@@ -10,7 +10,8 @@
 
 from plovertrail.decisions.events import EndpointStatus, EndpointsUpdated, ListKind
 from plovertrail.sources import discovery
-from plovertrail.sources.discovery import Directory, Discovery, Watch
+from plovertrail.sources.directory import Directory
+from plovertrail.sources.discovery import Discovery, Watch
 from tests.daemons import run
 from tests.net import entry, listing, until
 
@@ -36,7 +37,6 @@
 
 @pytest.fixture(autouse=True)
 def read_all_lines_on_a_thread(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(discovery, "MAX_INLINE_SERVERS", -1)
     monkeypatch.setattr(discovery, "MAX_INLINE_LINE_BYTES", 0)
     monkeypatch.setattr("gc.freeze", lambda: None)
 
@@ -65,7 +65,7 @@
         harness.receive(listing(entry("new", 2), entry("bad", 3) | {"state": "well"}, full=False))
         await harness.wait_until_read()
         assert [event.kind for event in harness.events] == [ListKind.FULL, ListKind.FAILED]
-        assert harness.discovery.directory.state.members.keys() == {"x"}
+        assert set(harness.discovery.directory.endpoints) == {"x"}
         assert harness.discovery.watch is None
 
     run(test)
@@ -160,3 +160,81 @@
         assert harness.discovery.version == 0
 
     run(test)
+
+
+LONG = {"x": "y" * 200_000}  # makes a list long, and says nothing
+
+
+class HeldReads:
+    """Holds the thread that reads a long line until it is released."""
+
+    def __init__(self, harness: DiscoveryHarness, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.begun, self.release = asyncio.Event(), asyncio.Event()
+        loop = asyncio.get_running_loop()
+        read_line = harness.discovery.directory.read_line
+
+        def held(line: bytes, known_version: int) -> Any:
+            if len(line) > len(LONG["x"]):
+                loop.call_soon_threadsafe(self.begun.set)
+                asyncio.run_coroutine_threadsafe(self.release.wait(), loop).result(20)
+            return read_line(line, known_version)
+
+        monkeypatch.setattr(harness.discovery.directory, "read_line", held)
+
+
+def last_states(events: list[EndpointsUpdated]) -> dict[int, EndpointStatus]:
+    """What each endpoint's state is by the events so far."""
+    return {entry.id: entry.state for event in events for entry in event.endpoints}
+
+
+# Guards against a drain that takes effect late, as a long list is being read before it.
+@pytest.mark.parametrize("state", ["leaving", "left"])
+@pytest.mark.parametrize("relists", [True, False])
+def test_a_drain_takes_effect_while_a_long_list_is_read(
+    monkeypatch: pytest.MonkeyPatch, state: str, relists: bool
+) -> None:
+    monkeypatch.setattr(discovery, "MAX_INLINE_LINE_BYTES", 10_000)
+
+    async def test() -> None:
+        harness = DiscoveryHarness()
+        harness.receive(listing(entry("x", 1), entry("y", 2), rev=1))
+        held = HeldReads(harness, monkeypatch)
+        targets = (entry("x", 1), entry("y", 2)) if relists else (entry("y", 2),)
+        harness.receive(listing(*targets, rev=2, full=relists) | LONG)
+        await held.begun.wait()
+        harness.receive(listing(entry("x", 1, state), full=False, rev=3))
+        harness.receive(listing(entry("z", 3), full=False, rev=4))
+        assert last_states(harness.events)[1] is not EndpointStatus.READY
+        held.release.set()
+        began = len(harness.events)
+        await until(lambda: len(harness.events) > began)
+        assert last_states(harness.events)[1] is not EndpointStatus.READY  # nor does the list bring it back
+        await harness.wait_until_read()
+        states = last_states(harness.events)
+        assert states[1] is not EndpointStatus.READY
+        assert states[2] is states[3] is EndpointStatus.READY
+        assert harness.discovery.version == 4
+        harness.receive(listing(entry("x", 1), full=False, rev=5))
+        assert list(last_states(harness.events).values()).count(EndpointStatus.READY) == 3
+
+    run(test)
+
+
+def test_a_drain_that_is_dropped_with_its_watch_no_longer_holds(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "MAX_INLINE_LINE_BYTES", 10_000)
+
+    async def test() -> None:
+        harness = DiscoveryHarness()
+        harness.receive(listing(entry("x", 1), rev=5))
+        held = HeldReads(harness, monkeypatch)
+        harness.receive(listing(entry("x", 1), rev=4, full=False) | LONG)  # older than what is known
+        await held.begun.wait()
+        harness.receive(listing(entry("x", 1, "leaving"), full=False, rev=6))
+        held.release.set()
+        await harness.wait_until_read()
+        assert harness.discovery.version == 0  # so the whole list is asked for
+        assert not harness.discovery.unread.has_removals
+        harness.receive(listing(entry("x", 1), rev=5))
+        assert last_states(harness.events)[1] is EndpointStatus.READY
+
+    run(test)
