No attempt begins for a client whose close can't be seen behind unread input

Cause: over 64 KB behind an open request reading is paused; once the kernel's buffer is full too, the end of input can't arrive, and is_disconnected took that for a client that is still there.

Change: with reading paused and an eighth of the kernel's buffer unread, no attempt begins; the request is answered 502. Way not taken: to read more (memory, and a larger input hides it again).

Tests: test_close_behind_more_than_the_kernel_holds_allows_no_retry and the one below it fail before.

--- a/plovertrail/listeners/client_connection.py
+++ b/plovertrail/listeners/client_connection.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import contextlib
+import fcntl
 import select
 import socket
+import termios
 import time
 from abc import abstractmethod
+from array import array
 from typing import TYPE_CHECKING
 
 from plovertrail.clock import clock_us
@@ -21,6 +24,9 @@
     from plovertrail.listeners.listener import Listener
 
 
+INT_TYPE = "i"  # of array
+
+
 class ClientConnection(asyncio.Protocol):
     """One connection of a client; it carries one request at a time."""
 
@@ -118,6 +124,12 @@
         except OSError:
             return True
 
+    def count_unread(self) -> int:
+        """Return how many bytes wait in the kernel."""
+        count = array(INT_TYPE, [0])
+        fcntl.ioctl(self.sock, termios.FIONREAD, count)
+        return count[0]
+
     def is_disconnected(self) -> bool:
         """Whether the client has closed its connection, even if the event loop has not noticed it yet.
 
--- a/plovertrail/listeners/http_listener.py
+++ b/plovertrail/listeners/http_listener.py
@@ -51,6 +51,7 @@
 log = logging.getLogger(__name__)
 
 MAX_PENDING_BYTES = 64 * 1024  # received while a request is open, before reading is paused
+FULL_BUFFER_FRACTION = 1 / 8  # of the kernel's buffer; it may be full, as segments take more than they carry
 RETRY_INVITING_STATUSES = (429, 503)
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 BUSY_STATES = (ConnectionState.OPEN, ConnectionState.ENDING, ConnectionState.UPGRADED)
@@ -154,6 +155,7 @@
             self._respond(prepared)
             return
         assert exchange.plan is not None
+        self.request_id = 0
         self.request_id = self.http_listener.dispatcher.submit(
             prepared, self.handle_response, exchange.plan.pools, exchange.plan.limiters
         )
@@ -192,6 +194,34 @@
             self.address = peer[0] if peer else ""
         return self.address
 
+    def is_disconnected(self) -> bool:
+        """Whether the client has disconnected, or may have done so without a sign of it.
+
+        Its end of input can't arrive while the kernel has no room for what it has sent before. Then no
+        attempt may begin for an open request; it is answered now, and the connection closes.
+        """
+        if super().is_disconnected():
+            return True
+        if not self.request_id or not self._may_hide_disconnect():
+            return False
+        self.listener.loop.call_soon(self._end_unverified, self.request_id)
+        return True
+
+    def _may_hide_disconnect(self) -> bool:
+        """Whether reading is paused, and the kernel's buffer may be full."""
+        if len(self.pending) <= MAX_PENDING_BYTES:
+            return False
+        buffer_bytes = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        return self.count_unread() >= FULL_BUFFER_FRACTION * buffer_bytes
+
+    def _end_unverified(self, request_id: int) -> None:
+        """Answer an open request for which no attempt may begin, as its client may have disconnected."""
+        if self.state is ConnectionState.OPEN and self.request_id == request_id:
+            self.http_listener.dispatcher.problems.count("requests_behind_too_much_input")
+            text = "too much came behind the request, which may have run"
+            self._respond(error_response(502, text, outcome=FAILED, close=True))
+            self.http_listener.dispatcher.disconnected(request_id)
+
     # Responding
 
     def handle_response(self, response: ProxyResponse) -> None:
--- a/tests/listeners/test_connections.py
+++ b/tests/listeners/test_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 import time
@@ -20,7 +21,7 @@
 from plovertrail.listeners.connection_state import ConnectionState
 from plovertrail.listeners.platform_request_reader import MAX_BODY_BYTES
 from plovertrail.upstreams.connection_pool import ConnectionPool
-from tests.daemons import Held, message, run, running
+from tests.daemons import Held, Running, message, run, running
 from tests.net import (
     NOT_RUN,
     OK,
@@ -215,6 +216,69 @@
     run(test)
 
 
+# Guards against an attempt for a client that has closed its connection, which can't be seen as the kernel's
+# buffers are full.
+def test_close_behind_more_than_the_kernel_holds_allows_no_retry(tmp_path: Path) -> None:
+    async def test() -> None:
+        held = Held()
+        held.server.script = broken_after_release(held)
+        async with running(tmp_path, {"main": [held.server]}) as it:
+            client = await connect_to_daemon(it)
+            client.send(message("GET /1"))
+            await until(lambda: len(held.server.arrivals) == 1)
+            await send_until_buffers_are_full(client)
+            client.close()
+            held.release.release()
+            await until(lambda: not it.daemon.dispatcher.requests)
+            assert len(held.server.arrivals) == 1
+            assert it.daemon.dispatcher.problems.counts["requests_behind_too_much_input"] == 1
+
+    run(test)
+
+
+def test_a_client_behind_too_much_input_gets_an_answer_instead_of_a_retry(tmp_path: Path) -> None:
+    async def test() -> None:
+        held = Held()
+        held.server.script = broken_after_release(held)
+        async with running(tmp_path, {"main": [held.server]}) as it:
+            client = await connect_to_daemon(it)
+            client.send(message("GET /1"))
+            await until(lambda: len(held.server.arrivals) == 1)
+            await send_until_buffers_are_full(client)
+            held.release.release()
+            answer = await asyncio.get_running_loop().sock_recv(client, 1000)
+            assert answer.startswith(b"HTTP/1.1 502 ")
+            assert b"\r\nConnection: close\r\n" in answer
+            client.close()
+
+    run(test)
+
+
+def broken_after_release(held: Held) -> web.Script:
+    async def script(server: web.WebServer, arrival: web.Arrival, line: web.Line) -> bytes:
+        await held.release.acquire()
+        assert line.transport is not None
+        line.transport.abort()
+        return b""
+
+    return script
+
+
+async def connect_to_daemon(it: Running) -> socket.socket:
+    client = socket.socket()
+    client.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(client, ("127.0.0.1", it.port))
+    return client
+
+
+async def send_until_buffers_are_full(client: socket.socket) -> None:
+    """Send further requests until no more of them has gone out for a while."""
+    loop = asyncio.get_running_loop()
+    with contextlib.suppress(TimeoutError):
+        while True:
+            await asyncio.wait_for(loop.sock_sendall(client, message("POST /buy", body=b"z" * 30_000)), 0.5)
+
+
 def not_run_after_release(held: Held) -> web.Script:
     async def script(server: web.WebServer, arrival: web.Arrival, line: web.Line) -> bytes:
         await held.release.acquire()
