A keyed request is not repeated at the endpoint whose connection broke under it

Cause: by the list the address still is in the cell. The broken connection, which tells that the process may have ended, was no reason against a repeat there.

Change: _dedup_targets leaves out endpoints whose connection broke under the request. Endpoints not yet tried went first before, so only groups with no other usable endpoint are affected: such requests fail now.

--- a/benchmarks/reference_balance.py
+++ b/benchmarks/reference_balance.py
@@ -467,6 +467,8 @@
         kind = self.class_of(request)
         if kind.effect != "deduplicated" or kind.dedup_scope == "all":
             return True
+        if any(each.endpoint is endpoint and each.outcome is Outcome.RESET for each in request.attempts):
+            return False  # another process may listen at its address now
         if kind.dedup_scope == "zone":
             return first.listed.zone == endpoint.listed.zone
         return first.listed.cell == endpoint.listed.cell
--- a/plovertrail/decisions/load_balancing/endpoint_selection.py
+++ b/plovertrail/decisions/load_balancing/endpoint_selection.py
@@ -153,7 +153,8 @@
         """Return the endpoints that recognize duplicates of a request; None if it may go to any endpoint.
 
         Rule 2 of the contract: once an attempt with an idempotency key may have run, the request is retried
-        only at endpoints that know the key.
+        only at endpoints that know the key. Where its connection broke, the process may have ended, and
+        another one, of another group, may listen at its address before the list tells so.
         """
         request_class = self._table.settings.classes[request.event.class_index]
         if request_class.effect != "deduplicated" or request_class.dedup_scope == "all":
@@ -163,4 +164,5 @@
             return None
         location = first.listed.zone if request_class.dedup_scope == "zone" else first.listed.cell
         group = self._table.dedup_group(request_class.dedup_scope, location)
-        return [endpoint for endpoint in group if endpoint.listed.id in sampler]
+        broken = request.endpoints_that_broke()
+        return [endpoint for endpoint in group if endpoint.listed.id in sampler and endpoint not in broken]
--- a/plovertrail/decisions/load_balancing/request_state.py
+++ b/plovertrail/decisions/load_balancing/request_state.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from plovertrail.decisions.events import RequestArrived
+from plovertrail.decisions.events import Outcome, RequestArrived
 from plovertrail.decisions.load_balancing.attempt_state import AttemptState
+from plovertrail.decisions.load_balancing.endpoint_state import EndpointState
 from plovertrail.decisions.load_balancing.outcomes import NEVER_RAN
 from plovertrail.decisions.settings import RequestClass
 
@@ -33,3 +34,7 @@
             if attempt.outcome not in NEVER_RAN:
                 return attempt
         return None
+
+    def endpoints_that_broke(self) -> list[EndpointState]:
+        """Return the endpoints whose connections broke under an attempt that may have run."""
+        return [attempt.endpoint for attempt in self.attempts if attempt.outcome is Outcome.RESET]
--- a/tests/decisions/load_balancing/test_retries.py
+++ b/tests/decisions/load_balancing/test_retries.py
@@ -5,7 +5,9 @@
 import pytest
 
 from plovertrail.decisions.actions import Fail
-from plovertrail.decisions.events import Outcome
+from plovertrail.decisions.events import Endpoint, Outcome
+from plovertrail.decisions.settings import RequestClass
+from tests.decisions.load_balancing.harness import BalancerHarness, settings
 from tests.decisions.load_balancing.scenarios import (
     MARK,
     PAY,
@@ -107,3 +109,32 @@
         harness.request_arrives(READ, cost_us=200_000),
     )
     assert harness.sends(light)[0].timeout_us < 200_000 < 800_000 <= harness.sends(heavy)[0].timeout_us
+
+
+CELL_SCOPED = RequestClass(
+    "top-up", 300_000, 1_500_000, effect="deduplicated", dedup_scope="cell", dedup_window_us=9_000_000
+)
+
+
+# Guards against a keyed request that runs again at another process, which came up at the address of the one
+# that had ended under its first attempt.
+@pytest.mark.parametrize("outcome", [Outcome.RESET, Outcome.ERROR])
+def test_a_keyed_request_does_not_go_back_to_the_endpoint_whose_connection_broke(outcome: Outcome) -> None:
+    harness = BalancerHarness(settings(classes=[CELL_SCOPED]))
+    harness.update_endpoints([Endpoint(1, cell=1), Endpoint(2, cell=2)])
+    request = harness.request_arrives(0)
+    harness.end_attempt(request, 0, outcome)
+    harness.advance(1_600_000)
+    first, *repeats = [send.endpoint_id for send in harness.sends(request)]
+    assert repeats == ([] if outcome is Outcome.RESET else [first])
+
+
+def test_a_keyed_request_whose_connection_broke_is_repeated_at_another_endpoint_of_its_cell() -> None:
+    harness = BalancerHarness(settings(classes=[CELL_SCOPED]))
+    harness.update_endpoints([Endpoint(1, cell=1), Endpoint(2, cell=1)])
+    request = harness.request_arrives(0)
+    harness.end_attempt(request, 0, Outcome.RESET)
+    harness.end_attempt(request, 1, Outcome.RESET)
+    harness.advance(1_600_000)
+    assert {send.endpoint_id for send in harness.sends(request)} == {1, 2}
+    assert len(harness.sends(request)) == 2
