The daemon bounds the memory of requests that have not come in full

Cause: the daemon's bounds hold for one connection alone; all of them together may have 1 GB.

Change: IncompleteRequests, which the sidecar has, for each listener of the daemon: limits.max_incomplete, 64 MiB by default. Over it, those that have sent nothing for longest are answered 503 with Retry-After. plovertrail check counts with it.

Test: test_the_clients_that_have_stalled_longest_are_rejected_over_the_limit_of_all; the key is not known before, so it fails there.

--- a/plovertrail/listeners/http_listener.py
+++ b/plovertrail/listeners/http_listener.py
@@ -44,6 +44,7 @@
     ClientContext,
     RequestForwarder,
 )
+from plovertrail.listeners.incomplete_requests import IncompleteRequests
 from plovertrail.listeners.listener import Listener
 from plovertrail.listeners.websocket_service import (
     HandshakeRejectedError,
@@ -56,6 +57,8 @@
 
 MAX_PENDING_BYTES = 64 * 1024  # received while a request is open, before reading is paused
 FULL_BUFFER_FRACTION = 1 / 8  # of the kernel's buffer; it may be full, as segments take more than they carry
+MEMORY_RETRY_AFTER_US = 1_000_000
+INCOMPLETE_STATES = (ConnectionState.NEW, ConnectionState.READING)
 RETRY_INVITING_STATUSES = (429, 503)
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 BUSY_STATES = (ConnectionState.OPEN, ConnectionState.ENDING, ConnectionState.UPGRADED)
@@ -88,6 +91,7 @@
     def release(self) -> None:
         """Release the reader, the handshake and the hooks of a connection that has ended."""
         self.reader.release()
+        self.http_listener.incomplete.forget(self)
         self._end_hold()
         if self.exchange is not None:
             self.exchange.cancel()
@@ -100,6 +104,7 @@
         """Start a lingering close, and free the received bytes: the client may keep the connection open."""
         self.reader.discard()
         self.pending = bytearray()
+        self.http_listener.incomplete.forget(self)
         super().linger()
 
     # Reading
@@ -120,6 +125,8 @@
         self.received_bytes += len(data)
         self.reader.feed(data)
         self._process_pending()
+        if self.state in INCOMPLETE_STATES:
+            self.http_listener.limit_incomplete(self)
 
     def pause_writing(self) -> None:
         """Stop processing requests: the client does not read its responses fast enough."""
@@ -183,6 +190,7 @@
     def _submit(self, message: RequestMessage) -> None:
         """Find the route of a complete request and submit it."""
         exchange = self.exchange = HttpExchange(message)
+        self.http_listener.incomplete.forget(self)
         self.http_listener.set_state(self, ConnectionState.OPEN)
         prepared = self._prepare_or_reject(exchange)
         self.doubted_since_us = 0
@@ -356,6 +364,12 @@
         """Respond to a request that was not received in time, and close the connection."""
         self._respond(error_response(status, "the request did not come in time", close=True))
 
+    def reject_for_memory(self) -> None:
+        """Reject an incomplete request, as too much is held of all of them, and close the connection."""
+        headers = retry_after_headers(MEMORY_RETRY_AFTER_US)
+        text = "refused: too many requests are incomplete"
+        self._respond(error_response(503, text, headers, close=True))
+
     def _write(self, response: LocalResponse, length: int | None) -> None:
         """Write a response and report its outcome to the hooks.
 
@@ -432,6 +446,16 @@
         self.websockets = websockets
         self.setup = listener
         self.forwarder = RequestForwarder(listener, websockets)
+        self.incomplete: IncompleteRequests[HttpConnection] = IncompleteRequests(0)
+
+    def limit_incomplete(self, client: HttpConnection) -> None:
+        """Record an incomplete request; reject those that have stalled for longest over the limit."""
+        limits = self.current.generation.setup.limits
+        self.incomplete.max_bytes = max(limits.max_incomplete, limits.max_head + limits.max_body)
+        self.incomplete.record(client, client.received_bytes)
+        while (stalled := self.incomplete.pop_excess()) is not None:
+            self.dispatcher.problems.report("request_rejected_for_memory", self.incomplete.describe)
+            stalled.reject_for_memory()
 
     def configure(self, listener: ListenerSetup) -> None:
         """Apply a new configuration; the address stays the same."""
--- a/plovertrail/listeners/incomplete_requests.py
+++ b/plovertrail/listeners/incomplete_requests.py
@@ -40,3 +40,7 @@
         client = next(iter(self._sizes))
         self.forget(client)
         return client
+
+    def describe(self) -> str:
+        """Return how much is held, for the log."""
+        return f"incomplete={len(self)} bytes={self.total_bytes} limit={self.max_bytes}"
--- a/plovertrail/listeners/platform_listener.py
+++ b/plovertrail/listeners/platform_listener.py
@@ -342,14 +342,9 @@
         """Record an incomplete request; reject those that have stalled for longest over the limit."""
         self.incomplete.record(client, client.incomplete_bytes())
         while (stalled := self.incomplete.pop_excess()) is not None:
-            self.dispatcher.problems.report("request_rejected_for_memory", self._incomplete_fields)
+            self.dispatcher.problems.report("request_rejected_for_memory", self.incomplete.describe)
             stalled.reject_for_memory()
 
-    def _incomplete_fields(self) -> str:
-        incomplete = self.incomplete
-        limit = incomplete.max_bytes
-        return f"incomplete={len(incomplete)} bytes={incomplete.total_bytes} limit={limit}"
-
     def finish_by(self, ends_us: int) -> None:
         """Limit all later requests to the end of the process, a time on the monotonic clock."""
         self.process_ends_us = ends_us
--- a/plovertrail/resource_limits.py
+++ b/plovertrail/resource_limits.py
@@ -32,13 +32,18 @@
 def max_message_bytes(setup: Setup) -> int:
     """The highest number of bytes of messages that may be buffered at once.
 
-    Each client connection may buffer a request being received, its body again while it is forwarded, the
-    requests pipelined after it, and a response that the client doesn't read. Each endpoint connection may
-    buffer a response being received, and each WebSocket the messages that its two ends don't read.
+    Each client connection may buffer a request being received, within the limit of its listener, its body
+    again while it is forwarded, the requests pipelined after it, and a response that the client doesn't read.
+    Each endpoint connection may buffer a response being received, and each WebSocket the messages that its
+    two ends don't read.
     """
     limits = setup.limits
-    per_client = limits.max_head + 2 * limits.max_body + PIPELINED_BYTES + limits.max_answer
+    per_client = limits.max_body + PIPELINED_BYTES + limits.max_answer
     clients = sum(listener.max_connections for listener in setup.listeners) * per_client
+    clients += sum(
+        min(listener.max_connections * (limits.max_head + limits.max_body), limits.max_incomplete)
+        for listener in setup.listeners
+    )
     endpoints = sum(pool.max_connections for pool in setup.pools.values()) * limits.max_answer
     websockets = sum(pool.max_sockets for pool in setup.pools.values()) * SESSION_BYTES
     hooks = sum(hook.memory for hook in setup.hooks.values())
--- a/tests/listeners/test_http_listener.py
+++ b/tests/listeners/test_http_listener.py
@@ -10,6 +10,7 @@
 
 from fakes.web import ERROR, NOT_RUN, OK, Arrival, Line, WebServer, always, slowly
 from plovertrail.decisions.response_attribution import INITIAL_REUSE_DELAY_US, MIN_SAMPLES
+from plovertrail.listeners.http_listener import HttpListener
 from tests.daemons import Held, message, run, running
 from tests.net import until
 
@@ -333,6 +334,35 @@
     run(test)
 
 
+# Guards against memory that grows with the number of clients which stop half way through a large request.
+def test_the_clients_that_have_stalled_longest_are_rejected_over_the_limit_of_all(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = WebServer()
+        head = '[limits]\nmax_incomplete = "1MiB"\nmax_body = "512KiB"\n'
+        async with running(tmp_path, {"main": [server]}, head=head) as it:
+            half = message("POST /buy", body=b"x" * 400_000)[:-1]
+            clients = [await it.connect() for _ in range(4)]
+            for client in clients:
+                client.writer.write(half)
+                await client.writer.drain()
+                await asyncio.sleep(0.05)
+            for client in clients[:2]:  # over 1 MiB with the third, and again with the fourth
+                reply = await client.reply()
+                assert reply.status == 503
+                assert reply.all("Retry-After")
+                assert await client.ended()
+            for client in clients[2:]:
+                assert (await client.ask(b"x")).status == 200
+            assert (await it.ask(message("GET /1"))).status == 200
+            assert it.daemon.dispatcher.problems.counts["request_rejected_for_memory"] == 2
+            [listener] = it.daemon.services.listeners.active.values()
+            assert isinstance(listener, HttpListener)
+            assert listener.incomplete.total_bytes == 0
+            assert len(server.arrivals) == 3
+
+    run(test)
+
+
 def test_expect_100_continue(tmp_path: Path) -> None:
     async def test() -> None:
         server = WebServer(echo)
