--- a/benchmarks/planted_fault_list.py
+++ b/benchmarks/planted_fault_list.py
@@ -54,7 +54,7 @@
 ROUTES = "plovertrail/decisions/routes.py"
 ROUTE_CONDITIONS = "plovertrail/config/route_conditions.py"
 HTTP_EXCHANGE = "plovertrail/listeners/http_exchange.py"
-HTTP_LISTENER = "plovertrail/listeners/http_listener.py"
+HTTP_CONNECTION = "plovertrail/listeners/http_connection.py"
 NEVER_RAN = "NEVER_RAN = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)"
 FAULTS = (
     Fault(
@@ -272,7 +272,7 @@
     ),
     Fault(
         "an answer is written twice",
-        HTTP_LISTENER,
+        HTTP_CONNECTION,
         "        self.responses += 1\n        self.transport.write(data)\n",
         "        self.responses += 1\n" + 2 * "        self.transport.write(data)\n",
     ),
