--- a/plovertrail/sources/directory.py
+++ b/plovertrail/sources/directory.py
@@ -17,7 +17,7 @@
 
 # A longer line would block the event loop for too long. It is decoded on a thread, which releases Python's
 # lock every few milliseconds.
-MAX_INLINE_LINE_BYTES = 64 * 1024
+MAX_INLINE_LINE_BYTES = 65_536
 STATES = {"active": EndpointStatus.READY, "leaving": EndpointStatus.DRAINING, "left": EndpointStatus.REMOVED}
 Address = tuple[str, int]
 
