A request that waits for what follows it is answered once no more bytes come

Change: the wait also ends when no byte has come for 0.8 s, as for other requests that come in pieces. Test: test_a_request_with_much_time_is_rejected_once_nothing_follows_a_part_of_another.

--- a/plovertrail/listeners/platform_listener.py
+++ b/plovertrail/listeners/platform_listener.py
@@ -52,7 +52,7 @@
 
     Bytes behind a complete request contradict its length, unless they are a further request from its first
     byte to its last. So until they are one in full, the request before them is neither forwarded nor served;
-    at its deadline, or as soon as they can be none, it is answered 400.
+    at its deadline, when no more bytes come, or as soon as they can be none, it is answered 400.
     """
 
     def __init__(self, platform_listener: PlatformListener, sock: socket.socket) -> None:
@@ -192,11 +192,15 @@
         return self.following is not None and not self.following.complete
 
     def _limit_wait(self) -> None:
-        """Limit the wait for the remainder of the following request to the deadline of the current one."""
-        is_waiting = self.request is not None or self.response is not None
-        if is_waiting and self._timer is None:
-            left_us = max(0, self._current_deadline_us() - clock_us())
-            self._timer = asyncio.get_running_loop().call_later(left_us / 1e6, self._reject_cut_off)
+        """Limit the wait for the remainder of the following request, if the current one waits for it.
+
+        It ends at the deadline of the current one, or when no more bytes have come for a while.
+        """
+        self._cancel_timer()
+        if self.request is not None or self.response is not None:
+            left_s = max(0, self._current_deadline_us() - clock_us()) / 1e6
+            wait_s = min(left_s, self.listener.timeouts.read_gap)
+            self._timer = asyncio.get_running_loop().call_later(wait_s, self._reject_cut_off)
 
     def _end_wait(self) -> None:
         """Write the response that waited for the following request, if there is one."""
--- a/tests/sidecar/test_bad_input.py
+++ b/tests/sidecar/test_bad_input.py
@@ -253,6 +253,36 @@
     run(test)
 
 
+# Guards against bad clients that are answered late, as they have given their requests much time.
+@pytest.mark.parametrize("is_forwarded", [False, True])
+def test_a_request_with_much_time_is_rejected_once_nothing_follows_a_part_of_another(
+    is_forwarded: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        held = asyncio.Event()
+        upstream = Upstream(released_by(held))
+        async with sidecar(upstream) as it:
+            reader, writer = await it.connect()
+            first = request("pay", body=b"ab")
+            writer.write(first if is_forwarded else first + ANOTHER[:5])
+            if is_forwarded:
+                await until(lambda: len(upstream.requests) == 1)
+                writer.write(ANOTHER[:5])
+                await asyncio.sleep(0.02)
+                held.set()
+            began = time.monotonic()
+            for byte in ANOTHER[5:9]:  # while bytes come, it waits
+                await asyncio.sleep(0.6 * connection_state.READ_GAP_TIMEOUT_S)
+                writer.write(bytes([byte]))
+            assert status(await read_message(reader)) == 400
+            assert time.monotonic() - began > 3 * connection_state.READ_GAP_TIMEOUT_S
+            writer.close()
+            assert len(upstream.requests) == int(is_forwarded)
+
+    monkeypatch.setitem(connection_state.STATE_TIMEOUTS_S, connection_state.ConnectionState.NEW, 60.0)
+    run(test)
+
+
 @pytest.mark.parametrize("is_forwarded", [False, True])
 def test_a_request_is_served_once_what_follows_it_is_another(is_forwarded: bool) -> None:
     async def test() -> None:
