--- a/tests/sidecar/test_bad_input.py
+++ b/tests/sidecar/test_bad_input.py
@@ -183,6 +183,7 @@
     b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",  # none that the listener accepts
 ]
 SHORT_DEADLINE_MS = 100
+OWED_WITHIN_S = 3.0  # for an error to a bad client
 
 
 # Guards against a request that is forwarded cut off at a length that is too small, as the rest of its body
@@ -274,8 +275,10 @@
             for byte in ANOTHER[5:9]:  # while bytes come, it waits
                 await asyncio.sleep(0.6 * connection_state.READ_GAP_TIMEOUT_S)
                 writer.write(bytes([byte]))
+            last_byte_s = time.monotonic()
             assert status(await read_message(reader)) == 400
             assert time.monotonic() - began > 3 * connection_state.READ_GAP_TIMEOUT_S
+            assert time.monotonic() - last_byte_s < OWED_WITHIN_S
             writer.close()
             assert len(upstream.requests) == int(is_forwarded)
 
