A list of cold endpoints no longer blocks the loop, in which a drain would wait

Cause: schedule_first_send summed up the capacity of all endpoints that warm up, for each endpoint that joins. Change: schedule_first_sends sums it up once for a list. Left: single joins, up to 1.2 ms each.

--- a/plovertrail/decisions/load_balancing/endpoint_updates.py
+++ b/plovertrail/decisions/load_balancing/endpoint_updates.py
@@ -54,9 +54,8 @@
             if endpoint.listed.started_us != listed.started_us or endpoint.next_warm_up_send == 0:
                 started.append(endpoint)
             self._apply_listing(endpoint, listed, now_us)
-        for endpoint in started:
-            if table.warm_up_fraction(endpoint, now_us) < 1.0:
-                self._warm_ups.schedule_first_send(endpoint, now_us)
+        warming = [endpoint for endpoint in started if table.warm_up_fraction(endpoint, now_us) < 1.0]
+        self._warm_ups.schedule_first_sends(warming, now_us)
         if self.restorer is not None:
             for endpoint in added:
                 self.restorer(endpoint)
--- a/tests/decisions/load_balancing/test_endpoint_updates.py
+++ b/tests/decisions/load_balancing/test_endpoint_updates.py
@@ -20,6 +20,7 @@
 )
 from plovertrail.decisions.load_balancing.balancer import LoadBalancer
 from tests.decisions.load_balancing.harness import START_US, BalancerHarness, ready_endpoints, settings
+from tests.line_counter import count_lines
 
 
 def polling_harness() -> BalancerHarness:
@@ -301,3 +302,17 @@
             while len(poll_indexes(harness)) == before:
                 harness.advance(50_000)
             assert harness.now_us - start_us < 6_600_000
+
+
+def steps_of_joins(count: int) -> int:
+    """How many lines of code run to apply one list with so many cold endpoints."""
+    harness = BalancerHarness(settings())
+    harness.update_endpoints(ready_endpoints(4))
+    endpoints = [Endpoint(1000 + number, started_us=harness.now_us) for number in range(count)]
+    event = EndpointsUpdated(ListKind.DELTA, endpoints, version=2)
+    return count_lines(lambda: harness.balancer.handle(harness.now_us, event))
+
+
+# Guards against an event loop that is blocked, and drains that wait, while many cold endpoints join at once.
+def test_a_list_of_cold_endpoints_takes_steps_in_proportion_to_its_length() -> None:
+    assert steps_of_joins(400) < 2.5 * steps_of_joins(200)
--- a/tests/decisions/test_endpoint_directory.py
+++ b/tests/decisions/test_endpoint_directory.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import random
-import sys
-from types import FrameType
-from typing import Any
 
 import pytest
 
@@ -19,6 +16,7 @@
     ListedEndpoint,
     apply_list,
 )
+from tests.line_counter import count_lines
 
 NAMES = "abcdefgh"
 
@@ -87,20 +85,8 @@
     """How many lines run to apply one drain among so many endpoints."""
     directory = EndpointDirectory()
     directory.replace({f"s{n}": ListedEndpoint(f"s{n}", ("10.0.0.1", n)) for n in range(endpoints)})
-    steps = 0
-
-    def trace(_frame: FrameType, event: str, _argument: object) -> Any:
-        nonlocal steps
-        steps += event == "line"
-        return trace
-
-    traced = sys.gettrace()
-    sys.settrace(trace)
-    try:
-        directory.update({"s1": ListedEndpoint("s1", ("10.0.0.1", 1), drain=True)})
-    finally:
-        sys.settrace(traced)
-    return steps
+    drained = ListedEndpoint("s1", ("10.0.0.1", 1), drain=True)
+    return count_lines(lambda: directory.update({"s1": drained}))
 
 
 # Guards against drains in a large fleet that take effect late, as each change costs a whole list.
