--- a/tests/http1/test_requests.py
+++ b/tests/http1/test_requests.py
@@ -189,3 +189,22 @@
     assert response_head(299, [(b"A", b"1")], 2, b"close") == (
         b"HTTP/1.1 299 Status\r\nA: 1\r\nContent-Length: 2\r\nConnection: close\r\n\r\n"
     )
+
+
+CHUNKED = post(b"Transfer-Encoding: chunked", body=b"2\r\nab\r\n0\r\n\r\n")
+
+
+# Guards against a request that is forwarded cut off: what stands behind it has to be known however it is cut.
+@pytest.mark.parametrize("request_bytes", [CHUNKED, post(b"Content-Length: 2", body=b"ab"), post()])
+@pytest.mark.parametrize(
+    ("rest", "contradicts"),
+    [(b"", False), (GET, False), (b"\r\n", True), (b"G", True), (GET[:-1], True), (b"2\r\ncd\r\n", True)],
+)
+def test_bytes_behind_a_request_contradict_it_unless_they_are_another(
+    request_bytes: bytes, rest: bytes, contradicts: bool
+) -> None:
+    data = request_bytes + rest
+    for cut in range(1, len(data) + 1):
+        reader = fed_reader(data[:cut], data[cut:])
+        assert reader.messages[0].may_be_cut_off
+        assert reader.contradicts_last_message is contradicts
--- a/tests/sidecar/test_bad_input.py
+++ b/tests/sidecar/test_bad_input.py
@@ -330,6 +330,23 @@
     run(test)
 
 
+# Guards against an unsafe request that runs twice, as its id comes again after its client has left.
+def test_an_id_that_has_run_does_not_run_again_after_its_client_has_left() -> None:
+    async def test() -> None:
+        upstream = Upstream(released_by(asyncio.Event()))
+        short = [RequestClass("pay", 100_000, 200_000, effect="at_most_once")]
+        async with sidecar(upstream, classes=short) as it:
+            _reader, writer = await it.connect()
+            writer.write(request("pay", ident="7", deadline_ms=200))
+            await until(lambda: len(upstream.requests) == 1)
+            writer.close()
+            await asyncio.sleep(1.0)
+            assert status(await it.ask(request("pay", ident="7", deadline_ms=200))) == 409
+        assert len(upstream.requests) == 1
+
+    run(test)
+
+
 def test_ids_are_forgotten_again(monkeypatch: pytest.MonkeyPatch) -> None:
     now = 0.0
     monkeypatch.setattr(time, "monotonic", lambda: now)
